Order by reachable aims, pack tightly, let a team's urgent work free its own limit

Cause (steady riga): statements hold the team's limit while its own redemptions wait; work past all aims went first; spreading split small machines.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -6,7 +6,7 @@
 use crate::protocol::cloud::MachineType;
 use crate::protocol::job::Shape;
 use crate::protocol::policy::Policy;
-use crate::protocol::settings::{Settings, Team};
+use crate::protocol::settings::{Objective, Settings, Team};
 use crate::storage::marks::Marks;
 use crate::storage::records::{LiveJob, MachineInfo};
 use hdrhistogram::Histogram;
@@ -26,6 +26,7 @@
     pub report_s: f64,
     pub cancel_s: f64,
     pub teams: Vec<Team>,
+    pub objectives: Vec<Objective>,
     pub policy: Policy,
 }
 
@@ -37,6 +38,7 @@
             report_s: workers.report_s,
             cancel_s: workers.cancel_s,
             teams: settings.cluster.teams.clone(),
+            objectives: settings.cluster.objectives.clone(),
             policy: policy.clone(),
         }
     }
@@ -64,6 +66,8 @@
     pub dirty: bool,
     /// The written machine list differs from what it should be.
     pub record_dirty: bool,
+    /// Time of day less our steady time, in seconds.
+    pub wall_offset_s: f64,
     pub(super) attempts: u64,
     pub(super) run_ms: HashMap<String, Histogram<u32>>,
     pub(super) rng: SmallRng,
@@ -82,6 +86,7 @@
             unwritten: BTreeSet::new(),
             dirty: true,
             record_dirty: false,
+            wall_offset_s: 0.0,
             attempts: 0,
             run_ms: HashMap::new(),
             rng: SmallRng::seed_from_u64(seed),
@@ -124,7 +129,8 @@
         }
         let mut done = Marks::from_text(&record.done, record.spec.tasks);
         done.merge(&extra);
-        let job = Job::new(record.spec, record.at_ms, version, done);
+        let at = record.at_ms as f64 / 1000.0 - self.wall_offset_s;
+        let job = Job::new(record.spec, at, version, done);
         if job.complete() {
             self.unwritten.insert(id.clone());
         }
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -76,6 +76,9 @@
                 if core.dirty || this.beats % 4 == 0 {
                     core.place(now);
                 }
+                if this.beats % 32 == 0 {
+                    tracing::debug!("{}", core.summary(now));
+                }
             }
             drain(&this.node);
         });
--- a/src/coordination/job.rs
+++ b/src/coordination/job.rs
@@ -34,8 +34,8 @@
 #[derive(Debug)]
 pub struct Job {
     pub spec: Rc<JobSpec>,
-    /// Time of day of acceptance, the order among jobs.
-    pub at_ms: u64,
+    /// When it was accepted, in our steady time.
+    pub at: f64,
     /// Version of its record in the state service.
     pub version: u64,
     /// Done tasks, as reported.
@@ -62,10 +62,10 @@
 
 impl Job {
     /// A job from its record.
-    pub fn new(spec: JobSpec, at_ms: u64, version: u64, done: Marks) -> Job {
+    pub fn new(spec: JobSpec, at: f64, version: u64, done: Marks) -> Job {
         Job {
             spec: Rc::new(spec),
-            at_ms,
+            at,
             version,
             written: done.clone(),
             done,
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -107,7 +107,7 @@
             } else {
                 let record = LiveJob {
                     spec: (*job.spec).clone(),
-                    at_ms: job.at_ms,
+                    at_ms: ((job.at + core.wall_offset_s) * 1000.0).round().max(0.0) as u64,
                     done: job.done.to_text(),
                 };
                 bytes += record.done.len() + 800;
--- a/src/coordination/member.rs
+++ b/src/coordination/member.rs
@@ -373,6 +373,7 @@
     let fence = Fence::new(share.term, quiet_since);
     let params = Params::new(&node.settings, &node.policy);
     let mut core = Core::new(params, share.term, fence, node.boot.get() ^ share.term);
+    core.wall_offset_s = node.wall_ms() as f64 / 1000.0 - node.now();
     if let Some(types) = &node.view.borrow().types {
         core.set_types(types);
     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -12,6 +12,7 @@
 pub mod machine;
 pub mod member;
 pub mod node;
+pub mod order;
 pub mod place;
 pub mod preempt;
 pub mod quota;
--- /dev/null
+++ b/src/coordination/order.rs
@@ -0,0 +1,45 @@
+//! Precedence among jobs: urgency first, and work whose aims are all out of
+//! reach after everything that can still meet one.
+
+use super::core::Core;
+use super::job::Job;
+use crate::protocol::job::Shape;
+use crate::protocol::settings::Objective;
+
+/// Rank of jobs that can meet none of their aims any more.
+const LATE: u8 = 5;
+
+/// Time left until the objective is out of reach for the job, if it applies.
+fn left_s(objective: &Objective, job: &Job, age_s: f64, predicted_s: f64) -> Option<f64> {
+    if objective.class.as_deref() != Some(job.spec.class.as_str()) {
+        return None;
+    }
+    match objective.kind.as_str() {
+        "deadline" => {
+            let due_s = job.spec.deadline_s?;
+            Some(due_s * objective.times.unwrap_or(1.0) - age_s - predicted_s)
+        }
+        "finished" => Some(objective.within_s? - age_s - predicted_s),
+        "wait" => Some(objective.within_s? - age_s),
+        _ => None,
+    }
+}
+
+impl Core {
+    /// Rank, lowest first, and the order within it.
+    pub(super) fn precedence(&self, job: &Job, now: f64) -> (u8, f64) {
+        let age_s = now - job.at;
+        let predicted_s = self.predict(job);
+        let mut lefts = self
+            .params
+            .objectives
+            .iter()
+            .filter_map(|o| left_s(o, job, age_s, predicted_s))
+            .chain(job.spec.deadline_s.map(|d| d - age_s - predicted_s))
+            .peekable();
+        let judged = lefts.peek().is_some();
+        let late = judged && job.spec.shape == Shape::Sweep && lefts.all(|left| left < 0.0);
+        let rank = if late { LATE } else { job.rank() };
+        (rank, job.at)
+    }
+}
--- a/src/coordination/place.rs
+++ b/src/coordination/place.rs
@@ -186,13 +186,20 @@
         self.unbind_aged(now);
         let mut slots = self.slots(now);
         let mut usage = self.usage();
-        let mut order: Vec<(u8, u64, Name)> = self
+        let mut order: Vec<(u8, f64, Name)> = self
             .jobs
             .iter()
             .filter(|(_, j)| !j.over && (j.waiting() > 0 || j.bound > 0) && j.not_before <= now)
-            .map(|(n, j)| (j.rank(), j.at_ms, n.clone()))
+            .map(|(n, j)| {
+                let (rank, within) = self.precedence(j, now);
+                (rank, within, n.clone())
+            })
             .collect();
-        order.sort();
+        order.sort_by(|a, b| {
+            a.0.cmp(&b.0)
+                .then(a.1.total_cmp(&b.1))
+                .then_with(|| a.2.cmp(&b.2))
+        });
         let mut at = 0;
         while at < order.len() {
             let rank = order[at].0;
@@ -328,7 +335,8 @@
                 return;
             }
             let used = usage.get(&spec.team).copied().unwrap_or_default();
-            if !within_limit(self.team(&spec.team), used, &spec, 1.0) {
+            let allowed = within_limit(self.team(&spec.team), used, &spec, 1.0);
+            if !allowed && !self.team_has_less_urgent(&spec) {
                 return;
             }
             let zones = self.zones(job, slots);
@@ -367,6 +375,7 @@
                         .is_some_and(|m| !m.knows(&task))
                 })
                 .collect();
+            let open = if allowed { open } else { Vec::new() };
             if let Some(i) = self.draw(&open, slots, Some(&spec)) {
                 self.begin(&mut slots[i], task, &spec, usage, now);
                 continue;
@@ -374,6 +383,9 @@
             let made = self.make_room(name, &fitting, slots, usage, now);
             let reserved = made.is_some();
             let joined = made.or_else(|| {
+                if !allowed {
+                    return None;
+                }
                 let short: Vec<usize> = fitting
                     .iter()
                     .copied()
@@ -391,11 +403,18 @@
         }
     }
 
+    /// Whether the team has work on machines that is less urgent than this.
+    fn team_has_less_urgent(&self, spec: &JobSpec) -> bool {
+        self.jobs
+            .values()
+            .any(|j| !j.on.is_empty() && j.spec.team == spec.team && j.spec.urgency < spec.urgency)
+    }
+
     fn bind(&mut self, slot: &mut Slot, task: TaskId, reserved: bool, now: f64) {
         let Some(job) = self.jobs.get(&task.job) else {
             return;
         };
-        let (rank, predicted_s) = (job.rank(), self.predict(job));
+        let (rank, predicted_s) = (self.precedence(job, now).0, self.predict(job));
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.bound += 1;
         }
@@ -413,7 +432,7 @@
 
     /// Samples among the candidates and takes the best of the sample: one that
     /// has the image, then the one with fewer bound waiting tasks, then the
-    /// roomier one.
+    /// tighter one, which leaves whole machines to large tasks.
     fn draw(
         &mut self,
         candidates: &[usize],
@@ -436,7 +455,7 @@
             image(b)
                 .cmp(&image(a))
                 .then(slots[a].queued.cmp(&slots[b].queued))
-                .then(slots[b].cpus.total_cmp(&slots[a].cpus))
+                .then(slots[a].cpus.total_cmp(&slots[b].cpus))
         })
     }
 }
--- a/src/coordination/preempt.rs
+++ b/src/coordination/preempt.rs
@@ -4,19 +4,20 @@
 use super::core::Core;
 use super::job::{Job, TaskId};
 use super::place::Slot;
-use super::quota::Usage;
+use super::quota::{within_limit, Usage};
 use crate::protocol::job::{JobSpec, Urgency};
 
 /// A way to make room: what it loses, the machine, what is stopped.
 type Plan = (f64, usize, Vec<(TaskId, u64)>);
 
-/// What stopping the attempt at once would lose, in seconds of work.
+/// What stopping the attempt at once would lose, in CPU seconds.
 fn loss(spec: &JobSpec, ran_s: f64) -> f64 {
-    if spec.checkpoint_s > 0.0 {
+    let lost_s = if spec.checkpoint_s > 0.0 {
         ran_s % spec.checkpoint_s
     } else {
         ran_s
-    }
+    };
+    lost_s * spec.cpus.max(spec.gpus).max(0.1)
 }
 
 impl Core {
@@ -34,6 +35,31 @@
             .is_some_and(|t| used.0 > t.cpus + 1e-6 || used.1 > t.gpus + 1e-6)
     }
 
+    /// Whether the team's limit leaves no room for one more task, counting
+    /// what is being stopped as free and what waits for it as taken.
+    fn lacking_quota(&self, spec: &JobSpec, usage: &Usage) -> bool {
+        let mut used = usage.get(&spec.team).copied().unwrap_or_default();
+        for m in self.machines.values() {
+            for (key, _) in m.holding().filter(|(_, a)| a.stop.is_some()) {
+                if let Some(j) = self.jobs.get(&key.0.job) {
+                    if j.spec.team == spec.team {
+                        used.0 -= j.spec.cpus;
+                        used.1 -= j.spec.gpus;
+                    }
+                }
+            }
+            for bound in m.queue.iter().filter(|b| b.reserved) {
+                if let Some(j) = self.jobs.get(&bound.task.job) {
+                    if j.spec.team == spec.team {
+                        used.0 += j.spec.cpus;
+                        used.1 += j.spec.gpus;
+                    }
+                }
+            }
+        }
+        !within_limit(self.team(&spec.team), used, spec, 1.0)
+    }
+
     /// Stops tasks on one of the machines so that a task of the job fits, and
     /// names that machine.
     pub(super) fn make_room(
@@ -49,6 +75,7 @@
             return None;
         }
         let spec = job.spec.clone();
+        let lacking = self.lacking_quota(&spec, usage);
         let mut best: Option<Plan> = None;
         for &i in fitting {
             let Some(m) = self.machines.get(&slots[i].name) else {
@@ -70,7 +97,13 @@
                     room.give(&victim.spec);
                     continue;
                 }
-                if self.may_stop(job, victim, usage) {
+                let yields = if lacking {
+                    // Only its own team's work frees the team's limit.
+                    victim.spec.team == spec.team && victim.spec.urgency < spec.urgency
+                } else {
+                    self.may_stop(job, victim, usage)
+                };
+                if yields {
                     let ran = active.running.map_or(0.0, |t| now - t);
                     victims.push((loss(&victim.spec, ran), key.clone(), victim.spec.clone()));
                 }
@@ -78,15 +111,25 @@
             victims.sort_by(|a, b| a.0.total_cmp(&b.0));
             let mut cost = 0.0;
             let mut chosen = Vec::new();
+            let (mut cpus, mut gpus) = (0.0, 0.0);
+            let mut done = |room: &Slot, victim: Option<&JobSpec>| {
+                if let Some(v) = victim {
+                    cpus += v.cpus;
+                    gpus += v.gpus;
+                }
+                room.fits(&spec) && (!lacking || cpus >= spec.cpus && gpus >= spec.gpus)
+            };
+            let mut enough = done(&room, None);
             for (loss_s, key, victim) in victims {
-                if room.fits(&spec) {
+                if enough {
                     break;
                 }
                 room.give(&victim);
+                enough = done(&room, Some(&victim));
                 cost += loss_s;
                 chosen.push(key);
             }
-            if room.fits(&spec) && best.as_ref().is_none_or(|b| cost < b.0) {
+            if enough && best.as_ref().is_none_or(|b| cost < b.0) {
                 best = Some((cost, i, chosen));
             }
         }
--- a/src/coordination/quota.rs
+++ b/src/coordination/quota.rs
@@ -40,6 +40,32 @@
         usage
     }
 
+    /// One line on load: machines, CPUs held by class, what waits.
+    pub fn summary(&self, now: f64) -> String {
+        let mut held: std::collections::BTreeMap<&str, (f64, u32)> = Default::default();
+        for job in self.jobs.values().filter(|j| !j.over) {
+            let entry = held.entry(&job.spec.class).or_default();
+            entry.0 += job.on.len() as f64 * job.spec.cpus;
+            entry.1 += job.waiting() + job.bound;
+        }
+        let slots = self.slots(now);
+        let free: f64 = slots.iter().map(|s| s.cpus).sum();
+        let all: f64 = slots
+            .iter()
+            .filter_map(|s| self.types.get(&self.machines.get(&s.name)?.info.kind))
+            .map(|t| t.cpus)
+            .sum();
+        let mut line = format!(
+            "machines={} usable={} cpus={all} free={free}",
+            self.machines.len(),
+            slots.len()
+        );
+        for (class, (cpus, waiting)) in held {
+            line.push_str(&format!(" {class}={cpus}+{waiting}"));
+        }
+        line
+    }
+
     /// A job is within its team's guarantee if it fits into it together with
     /// the team's earlier unfinished jobs.
     pub(super) fn judge_guarantees(&mut self) {
@@ -51,13 +77,13 @@
         {
             return;
         }
-        let mut order: Vec<(u64, Name)> = self
+        let mut order: Vec<(f64, Name)> = self
             .jobs
             .iter()
             .filter(|(_, j)| !j.over)
-            .map(|(n, j)| (j.at_ms, n.clone()))
+            .map(|(n, j)| (j.at, n.clone()))
             .collect();
-        order.sort();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
         let mut sums: HashMap<String, (f64, f64)> = HashMap::new();
         let teams = self.params.teams.clone();
         for (_, name) in order {
