Tests, a seeded simulation, and the failure it found: giving up machines without contact

Cause: an owner that has lost the share without knowing it took its own silence towards a machine as proof that the lease ran out, while the new owner kept it alive.

--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -71,7 +71,7 @@
             this.beats += 1;
             let now = this.node.now();
             if let Some(core) = this.node.core.borrow_mut().as_mut() {
-                core.tick(now);
+                core.tick(now, this.node.confirmed.get());
                 core.probes(now);
                 if core.dirty || this.beats % 4 == 0 {
                     core.place(now);
--- a/src/coordination/order.rs
+++ b/src/coordination/order.rs
@@ -26,6 +26,40 @@
 }
 
 impl Core {
+    /// Seconds until the first aim still in reach is lost, `None` without one.
+    pub(super) fn slack_s(&self, job: &Job, now: f64) -> Option<f64> {
+        let age_s = now - job.at;
+        let predicted_s = self.predict(job);
+        self.params
+            .objectives
+            .iter()
+            .filter_map(|o| {
+                if o.kind == "guarantee" && job.guaranteed {
+                    return Some(o.within_s? - age_s);
+                }
+                left_s(o, job, age_s, predicted_s)
+            })
+            .filter(|left| *left >= 0.0)
+            .min_by(f64::total_cmp)
+    }
+
+    /// Whether stopping others for the job is due: an aim is in reach and will
+    /// be lost soon, or it has none to tell by. Predictions are often wrong by
+    /// half, so half of one is the margin.
+    pub(super) fn pressed(&self, job: &Job, now: f64) -> bool {
+        let aimed = job.spec.deadline_s.is_some()
+            || self
+                .params
+                .objectives
+                .iter()
+                .any(|o| o.class.as_deref() == Some(job.spec.class.as_str()));
+        let margin = 0.5 * self.predict(job);
+        match self.slack_s(job, now) {
+            Some(left) => left < margin.max(2.0 * self.params.report_s),
+            None => !aimed,
+        }
+    }
+
     /// Rank, lowest first, and the order within it.
     pub(super) fn precedence(&self, job: &Job, now: f64) -> (u8, f64) {
         let age_s = now - job.at;
@@ -40,6 +74,8 @@
         let judged = lefts.peek().is_some();
         let late = judged && job.spec.shape == Shape::Sweep && lefts.all(|left| left < 0.0);
         let rank = if late { LATE } else { job.rank() };
-        (rank, job.at)
+        // Least slack first; without an aim in reach, oldest first after those.
+        let key = self.slack_s(job, now).unwrap_or(1e12 + job.at);
+        (rank, key)
     }
 }
--- a/src/coordination/preempt.rs
+++ b/src/coordination/preempt.rs
@@ -74,6 +74,9 @@
         if job.spec.urgency == Urgency::Idle && !job.guaranteed {
             return None;
         }
+        if !self.pressed(job, now) {
+            return None;
+        }
         let spec = job.spec.clone();
         let lacking = self.lacking_quota(&spec, usage);
         let mut best: Option<Plan> = None;
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -464,7 +464,12 @@
     }
 
     /// Time passes: silent machines are proven empty, notices handled.
-    pub fn tick(&mut self, now: f64) {
+    ///
+    /// `confirmed` is when the last successful check that the share is ours
+    /// began. A lease that ran out proves a machine empty only if the share
+    /// was still ours after that: a new owner may be keeping it alive, and we
+    /// would not know without contact to the state service.
+    pub fn tick(&mut self, now: f64, confirmed: f64) {
         let lease = with_margin(self.params.lease_s);
         let mut expired = Vec::new();
         for (name, m) in &self.machines {
@@ -482,7 +487,7 @@
                     .empty_from(lease)
                     .map(|t| own.map_or(t, |o| t.max(o)))
             };
-            if from.is_some_and(|t| now > t) {
+            if from.is_some_and(|t| now > t && confirmed > t) {
                 expired.push(name.clone());
             }
         }
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,383 @@
+//! Cases on the owner's core: fencing, copies in flight, quota, guarantees,
+//! preemption, placement.
+
+mod common;
+
+use common::*;
+use foxspur::coordination::core::Core;
+use foxspur::coordination::fence::remaining;
+use foxspur::coordination::quota::within_limit;
+use foxspur::coordination::sessions::{Answer, CallResult};
+use foxspur::protocol::job::Urgency;
+use foxspur::protocol::worker::{Cause, Command, Phase, Report};
+use foxspur::storage::marks::Marks;
+use foxspur::storage::records::Prior;
+
+fn orders(core: &mut Core, report: &Report, now: f64) -> Vec<Command> {
+    match core.hello(report, now) {
+        Answer::Orders(reply) => reply.commands,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn starts(commands: &[Command]) -> Vec<(String, u64)> {
+    let start = |c: &Command| match c {
+        Command::Start { task, attempt } => Some((task.clone(), *attempt)),
+        _ => None,
+    };
+    commands.iter().filter_map(start).collect()
+}
+
+fn free() -> Vec<foxspur::protocol::settings::Team> {
+    vec![team("t", 0.0, 0.0)]
+}
+
+/// Guards against a task started twice after a takeover: the former owner's
+/// copy may be on a machine that has not reported yet.
+#[test]
+fn nothing_starts_before_every_machine_is_accounted_for() {
+    let mut core = core(free(), 5, &["m1", "m2"]);
+    add(
+        &mut core,
+        spec("run-1", "t", Urgency::Standard, 1, 1.0),
+        0.0,
+    );
+    // The first answer only brings the term to the machine.
+    assert!(orders(&mut core, &report("m1", 1, 1, 4, &[]), 1.0).is_empty());
+    assert!(orders(&mut core, &report("m1", 1, 2, 5, &[]), 2.0).is_empty());
+    assert!(!core.gate_open());
+    let seen = [("run-1/0", 9, Phase::Running, None)];
+    assert!(orders(&mut core, &report("m2", 1, 7, 5, &seen), 3.0).is_empty());
+    assert!(core.gate_open());
+    // It runs on m2, so m1 gets nothing.
+    assert!(orders(&mut core, &report("m1", 1, 3, 5, &[]), 4.0).is_empty());
+    assert_eq!(core.progress("run-1"), Some((0, 1)));
+}
+
+/// Silence alone proves nothing; a lease after the last possible answer does.
+#[test]
+fn a_silent_machine_is_empty_only_after_the_lease() {
+    for (quiet, at, open) in [
+        (None, 1000.0, false),
+        (Some(0.0), 9.0, false),
+        (Some(0.0), 10.2, true),
+        (Some(60.0), 65.0, false),
+        (Some(60.0), 70.2, true),
+    ] {
+        let mut core = core(free(), 5, &["m1"]);
+        core.fence.quiet_since = quiet;
+        core.tick(at, at);
+        assert_eq!(core.gate_open(), open, "quiet {quiet:?} at {at}");
+    }
+}
+
+/// Guards against answering a session whose tasks were given up: the answer
+/// would renew its lease.
+#[test]
+fn an_expired_session_is_never_answered_again() {
+    let mut core = core(free(), 5, &["m1"]);
+    orders(&mut core, &report("m1", 1, 1, 5, &[]), 1.0);
+    core.tick(11.5, 11.5);
+    assert!(matches!(
+        core.hello(&report("m1", 1, 2, 5, &[]), 12.0),
+        Answer::Refuse
+    ));
+    assert!(matches!(
+        core.hello(&report("m1", 2, 3, 5, &[]), 13.0),
+        Answer::Orders(_)
+    ));
+}
+
+/// Guards against a former owner without contact giving up a machine that a
+/// new owner keeps alive, and starting its tasks elsewhere (found by the
+/// simulation).
+#[test]
+fn without_contact_no_machine_is_given_up() {
+    for (confirmed, given_up) in [(5.0, false), (11.0, false), (11.2, true)] {
+        let mut core = core(free(), 5, &["m1"]);
+        orders(&mut core, &report("m1", 1, 1, 5, &[]), 1.0);
+        core.tick(30.0, confirmed);
+        assert_eq!(core.wanted_record().is_empty(), given_up, "{confirmed}");
+    }
+}
+
+/// The former owner's answer may be the one that counts until the machine has
+/// seen our term, even after we answered it ourselves.
+#[test]
+fn the_lease_counts_from_the_first_report_under_our_term() {
+    let mut core = core(free(), 5, &["m1"]);
+    orders(&mut core, &report("m1", 1, 1, 4, &[]), 1.0);
+    orders(&mut core, &report("m1", 1, 2, 5, &[]), 8.0);
+    core.tick(11.5, 11.5);
+    assert!(core.wanted_record().iter().any(|m| m.id == "m1"));
+}
+
+/// A start that had no answer holds its task until it is ruled out.
+#[test]
+fn a_start_in_flight_counts_as_on() {
+    let mut core = core(free(), 5, &["m1"]);
+    core.set_types(&types());
+    orders(&mut core, &report("m1", 1, 1, 5, &[]), 0.0);
+    add(
+        &mut core,
+        spec("run-1", "t", Urgency::Standard, 1, 1.0),
+        0.0,
+    );
+    core.place(0.1);
+    let name = "m1".into();
+    let (_, call) = core.direct_call(&name, 0.1).expect("a direct call");
+    let (task, attempt) = starts(&call.commands)[0].clone();
+    core.called(&name, &call, CallResult::Unknown, 1.0);
+    // The report does not show it: offered again, the same attempt.
+    let again = orders(&mut core, &report("m1", 1, 2, 5, &[]), 1.5);
+    assert_eq!(starts(&again), vec![(task.clone(), attempt)]);
+    // It failed: not forgotten while the late copy could start it once more.
+    let failed = [(task.as_str(), attempt, Phase::Exited, Some(Cause::Error))];
+    let reply = orders(&mut core, &report("m1", 1, 3, 5, &failed), 2.0);
+    assert!(
+        !reply.iter().any(|c| matches!(c, Command::Forget { .. })),
+        "{reply:?}"
+    );
+    // A higher term that the machine has seen rules the copy out.
+    let late = 2.0 + CANCEL_S / 8.0;
+    orders(&mut core, &report("m1", 1, 4, 5, &failed), late);
+    assert!(core.wants_new_term(late));
+    core.raise_term(6);
+    orders(&mut core, &report("m1", 1, 5, 5, &failed), late + 0.5);
+    let reply = orders(&mut core, &report("m1", 1, 6, 6, &failed), late + 1.0);
+    assert!(
+        reply.iter().any(|c| matches!(c, Command::Forget { .. })),
+        "{reply:?}"
+    );
+}
+
+/// Malformed, old or reordered reports change nothing.
+#[test]
+fn old_reports_change_nothing() {
+    let mut core = core(free(), 5, &["m1"]);
+    add(
+        &mut core,
+        spec("run-1", "t", Urgency::Standard, 1, 1.0),
+        0.0,
+    );
+    let running = [("run-1/0", 3, Phase::Running, None)];
+    orders(&mut core, &report("m1", 2, 9, 5, &running), 1.0);
+    for (session, seq) in [(2, 8), (1, 99), (2, 9)] {
+        let done = [("run-1/0", 3, Phase::Exited, Some(Cause::Done))];
+        assert!(orders(&mut core, &report("m1", session, seq, 5, &done), 2.0).is_empty());
+        assert_eq!(core.progress("run-1"), Some((0, 1)), "({session}, {seq})");
+    }
+    let odd = [
+        ("no task", 1, Phase::Running, None),
+        ("run-1/77", 1, Phase::Running, None),
+    ];
+    orders(&mut core, &report("m1", 2, 10, 5, &odd), 3.0);
+}
+
+/// A finished task is forgotten by its worker only once its mark is written.
+#[test]
+fn done_is_recorded_before_it_is_forgotten() {
+    let mut core = core(free(), 5, &["m1"]);
+    add(
+        &mut core,
+        spec("run-1", "t", Urgency::Standard, 2, 1.0),
+        0.0,
+    );
+    let done = [("run-1/1", 3, Phase::Exited, Some(Cause::Done))];
+    let reply = orders(&mut core, &report("m1", 1, 1, 5, &done), 1.0);
+    assert!(!reply.iter().any(|c| matches!(c, Command::Forget { .. })));
+    assert_eq!(
+        core.progress("run-1"),
+        Some((0, 0)),
+        "not told before it is written"
+    );
+    core.marks_written("run-1", &Marks::from_text("1", 2), 2);
+    let reply = orders(&mut core, &report("m1", 1, 2, 5, &done), 2.0);
+    assert!(reply.iter().any(|c| matches!(c, Command::Forget { .. })));
+    assert_eq!(core.progress("run-1"), Some((1, 0)));
+}
+
+/// A cancelled job's tasks are stopped, also one whose start is in flight.
+#[test]
+fn a_cancelled_job_leaves_nothing() {
+    let mut core = core(free(), 5, &["m1"]);
+    orders(&mut core, &report("m1", 1, 1, 5, &[]), 0.0);
+    add(
+        &mut core,
+        spec("run-1", "t", Urgency::Standard, 3, 1.0),
+        0.0,
+    );
+    let started = starts(&orders(&mut core, &report("m1", 1, 2, 5, &[]), 1.0));
+    assert_eq!(started.len(), 3);
+    core.job_over("run-1");
+    let shown: Vec<_> = started
+        .iter()
+        .map(|(t, a)| (t.as_str(), *a, Phase::Running, None))
+        .collect();
+    let reply = orders(&mut core, &report("m1", 1, 3, 5, &shown), 2.0);
+    let stops = reply.iter().filter(|c| matches!(c, Command::Stop { .. }));
+    assert_eq!(stops.count(), 3);
+    assert!(starts(&reply).is_empty());
+    orders(&mut core, &report("m1", 1, 4, 5, &[]), 3.0);
+    assert!(core.jobs.is_empty());
+}
+
+/// The limit counts everything that is on a machine or may be.
+#[test]
+fn a_team_stays_within_its_limit() {
+    let mut core = core(vec![team("t", 0.0, 6.0)], 5, &["m1"]);
+    orders(&mut core, &report("m1", 1, 1, 5, &[]), 0.0);
+    add(
+        &mut core,
+        spec("run-1", "t", Urgency::Standard, 9, 2.0),
+        0.0,
+    );
+    let started = starts(&orders(&mut core, &report("m1", 1, 2, 5, &[]), 1.0));
+    assert_eq!(started.len(), 3);
+    for (max, used, tasks, fits) in [
+        (0.0, 1e6, 5.0, true),
+        (6.0, 4.0, 1.0, true),
+        (6.0, 4.5, 1.0, false),
+        (6.0, 0.0, 4.0, false),
+    ] {
+        let team = team("t", 0.0, max);
+        let spec = spec("run-1", "t", Urgency::Idle, 9, 2.0);
+        assert_eq!(within_limit(Some(&team), (used, 0.0), &spec, tasks), fits);
+    }
+}
+
+/// Lower urgency yields; equal urgency does not; borrowed work yields to a
+/// guarantee; a team's urgent work frees its own limit.
+#[test]
+fn who_yields_to_whom() {
+    use Urgency::{High, Idle, Prod, Standard};
+    let cases = [
+        // running: team, urgency; waiting: team, urgency; limit of team a; yields
+        ("a", Idle, "b", Standard, 0.0, true),
+        ("a", Standard, "b", Standard, 0.0, false),
+        ("a", High, "b", Standard, 0.0, false),
+        ("a", High, "b", Prod, 0.0, true),
+        ("a", High, "g", Idle, 0.0, true),
+        ("g", Idle, "b", High, 0.0, false),
+        ("a", Idle, "a", High, 8.0, true),
+        ("a", High, "a", High, 8.0, false),
+    ];
+    for (i, (run_team, run_urgency, team_name, urgency, limit, yields)) in
+        cases.into_iter().enumerate()
+    {
+        let teams = vec![
+            team("a", 0.0, limit),
+            team("b", 0.0, 0.0),
+            team("g", 8.0, 0.0),
+        ];
+        let mut core = core(teams, 5, &["m1"]);
+        orders(&mut core, &report("m1", 1, 1, 5, &[]), 0.0);
+        add(&mut core, spec("run-1", run_team, run_urgency, 4, 2.0), 0.0);
+        let started = starts(&orders(&mut core, &report("m1", 1, 2, 5, &[]), 1.0));
+        assert_eq!(started.len(), 4, "case {i}");
+        add(&mut core, spec("run-2", team_name, urgency, 1, 2.0), 1.0);
+        core.place(1.5);
+        let shown: Vec<_> = started
+            .iter()
+            .map(|(t, a)| (t.as_str(), *a, Phase::Running, None))
+            .collect();
+        let reply = orders(&mut core, &report("m1", 1, 3, 5, &shown), 2.0);
+        let stops = reply
+            .iter()
+            .filter(|c| matches!(c, Command::Stop { .. }))
+            .count();
+        assert_eq!(stops, usize::from(yields), "case {i}: {reply:?}");
+    }
+}
+
+/// The queue starts the smallest prediction first.
+#[test]
+fn a_queue_starts_the_smallest_prediction_first() {
+    let mut core = core(free(), 5, &["m1"]);
+    orders(&mut core, &report("m1", 1, 1, 5, &[]), 0.0);
+    add(
+        &mut core,
+        spec("run-1", "t", Urgency::Standard, 1, 8.0),
+        0.0,
+    );
+    let first = starts(&orders(&mut core, &report("m1", 1, 2, 5, &[]), 0.1));
+    for (i, estimate) in [30.0, 5.0].into_iter().enumerate() {
+        let mut waiting = spec(&format!("run-{}", i + 2), "t", Urgency::Standard, 1, 8.0);
+        waiting.estimate_s = estimate;
+        add(&mut core, waiting, 1.0 + i as f64);
+        core.place(1.0 + i as f64);
+    }
+    let done = [(
+        first[0].0.as_str(),
+        first[0].1,
+        Phase::Exited,
+        Some(Cause::Done),
+    )];
+    let next = starts(&orders(&mut core, &report("m1", 1, 3, 5, &done), 4.0));
+    assert_eq!(next[0].0, "run-3/0");
+}
+
+/// Zones: all together, or at most half in one, by what is on at the moment.
+#[test]
+fn jobs_that_care_about_zones() {
+    for (together, scatter, tasks, most_in_a) in [(true, false, 4, 4), (false, true, 5, 3)] {
+        let mut core = core(free(), 5, &["m1", "m2"]);
+        for (id, seq) in [("m1", 1), ("m2", 1)] {
+            orders(&mut core, &report(id, 1, seq, 5, &[]), 0.0);
+        }
+        let mut job = spec("run-1", "t", Urgency::Standard, tasks, 1.0);
+        (job.one_zone, job.spread) = (together, scatter);
+        add(&mut core, job, 0.0);
+        let mut n = 0;
+        for id in ["m1", "m2"] {
+            n += starts(&orders(&mut core, &report(id, 1, 2, 5, &[]), 1.0)).len();
+        }
+        assert_eq!(n, most_in_a, "both machines are in zone a");
+    }
+}
+
+/// A machine that fails task after task is taken out; a job that fails
+/// everywhere is no reason to.
+#[test]
+fn bad_machines_and_bad_jobs() {
+    let mut core = core(free(), 5, &["m1"]);
+    orders(&mut core, &report("m1", 1, 1, 5, &[]), 0.0);
+    for seq in 2..6 {
+        add(
+            &mut core,
+            spec(&format!("run-{seq}"), "t", Urgency::Standard, 1, 1.0),
+            0.0,
+        );
+        let task = format!("run-{seq}/0");
+        let failed = [(task.as_str(), seq, Phase::Exited, Some(Cause::Error))];
+        orders(&mut core, &report("m1", 1, seq, 5, &failed), seq as f64);
+    }
+    core.tick(6.0, 6.0);
+    let standing = core.machines["m1"].standing;
+    assert_eq!(standing, foxspur::coordination::machine::Standing::Draining);
+}
+
+/// A former owner counts as silent once its host has another incarnation, or
+/// when its time is over by any clock.
+#[test]
+fn former_owners_fall_silent() {
+    let prior = |until_ms| Prior {
+        host: "h".into(),
+        boot: 7,
+        until_ms,
+    };
+    for (alive, until, now, left) in [
+        (Some(7), 5000, 1000, 1),
+        (Some(8), 5000, 1000, 0),
+        (None, 5000, 1000, 1),
+        (None, 5000, 6900, 1),
+        (None, 5000, 7100, 0),
+    ] {
+        let list = [prior(until)];
+        assert_eq!(
+            remaining(&list, |_| alive, now, 1000).len(),
+            left,
+            "{alive:?} {now}"
+        );
+    }
+}
--- /dev/null
+++ b/tests/protocol.rs
@@ -0,0 +1,237 @@
+//! Tables on what comes in from outside: submissions, settings, reports.
+
+use foxspur::protocol::job::{parse_submission, peek_id, valid_id};
+use foxspur::protocol::mesh::{decode, encode, Ask};
+use foxspur::protocol::policy::Policy;
+use foxspur::protocol::settings::Settings;
+use foxspur::protocol::worker::{Cause, Command, Phase, Report};
+use foxspur::storage::marks::Marks;
+use foxspur::transport::budget::Budget;
+use serde_json::{json, Value};
+
+fn job() -> Value {
+    json!({"name_id":"run-000412","queue":"train","owner":"vision","shape":"sweep","urgency":"high",
+        "shards":16,"cpus":8.0,"cards":1.0,"memory_gb":64.0,"bundle":"img-07","image_gb":6.2,
+        "flavors":["g8"],"site":null,"together":true,"scatter":false,"standby":true,
+        "expected_s":240.0,"save_every_s":30.0,"save_cost_s":4.0,"due_s":900.0})
+}
+
+#[test]
+fn submissions() {
+    // What is changed in a good submission, and whether it is still taken.
+    let cases: Vec<(&str, Value, bool)> = vec![
+        ("site", json!("a"), true),
+        ("flavors", Value::Null, true),
+        ("due_s", Value::Null, true),
+        ("shape", json!("service"), true),
+        ("shape", json!("group"), false),
+        ("shape", json!("array"), false),
+        ("urgency", json!("normal"), false),
+        ("name_id", json!("job-1"), false),
+        ("name_id", json!("run-"), false),
+        ("name_id", json!("run-12a"), false),
+        ("name_id", json!(412), false),
+        ("shards", json!(0), false),
+        ("shards", json!(100_000), true),
+        ("shards", json!(100_001), false),
+        ("shards", json!(1.5), false),
+        ("shards", json!("3"), false),
+        ("cpus", json!(-1.0), false),
+        ("cpus", json!("8"), false),
+        ("cpus", json!(8), true),
+        ("memory_gb", Value::Null, false),
+        ("together", json!("yes"), false),
+        ("owner", json!(""), false),
+        ("flavors", json!("g8"), false),
+        ("unknown_field", json!({"a": 1}), true),
+    ];
+    for (field, value, good) in cases {
+        let mut body = job();
+        body[field] = value.clone();
+        let parsed = parse_submission(body.to_string().as_bytes());
+        assert_eq!(parsed.is_ok(), good, "{field} = {value}: {parsed:?}");
+    }
+    for field in [
+        "name_id",
+        "queue",
+        "owner",
+        "shape",
+        "cpus",
+        "standby",
+        "expected_s",
+    ] {
+        let mut body = job();
+        body.as_object_mut().unwrap().remove(field);
+        let parsed = parse_submission(body.to_string().as_bytes());
+        assert!(parsed.is_err(), "without {field}");
+    }
+    for body in ["", "nonsense", "[]", "3", "null", "\"run-000412\""] {
+        assert!(parse_submission(body.as_bytes()).is_err(), "{body}");
+    }
+    // A job that is known is found in a repetition that is otherwise wrong.
+    let mut body = job();
+    body["cpus"] = json!("many");
+    assert_eq!(
+        peek_id(body.to_string().as_bytes()).as_deref(),
+        Some("run-000412")
+    );
+    assert!(valid_id("run-7") && !valid_id("run-7/3") && !valid_id("run--7"));
+}
+
+const SETTINGS: &str = r#"
+host_name = "berth-0"
+site = "a"
+front = "10.0.0.1:8080"
+mesh_addr = "10.0.0.1:8081"
+news = "ignored"
+[[peers]]
+host_name = "berth-1"
+site = "b"
+addr = "10.0.0.2:8081"
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[cluster]
+nodes = 2
+zones = ["a", "b"]
+time_bound_ms = 1000.0
+[[cluster.teams]]
+name = "vision"
+cpus = 8.0
+cpus_max = 16.0
+[cluster.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 40.0
+[cluster.state]
+rps = 250.0
+write_rps = 50.0
+value_kb = 16.0
+txn_ops = 32
+[cluster.cloud]
+rps = 3.0
+list_lag_s = 10.0
+[cluster.quota]
+cpu = 0.12
+memory_mb = 56.0
+max_sockets = 800
+"#;
+
+#[test]
+fn settings_name_the_field_that_is_wrong() {
+    assert!(Settings::parse(SETTINGS).is_ok());
+    let cases = [
+        ("host_name = \"berth-0\"\n", "", "host_name"),
+        ("front = \"10.0.0.1:8080\"", "front = \"here\"", "front"),
+        (
+            "front = \"10.0.0.1:8080\"",
+            "front = \"10.0.0.1:8081\"",
+            "mesh_addr",
+        ),
+        ("lease_s = 10.0", "lease_s = 0.5", "lease_s"),
+        ("lease_s = 10.0", "lease_s = -1.0", "lease_s"),
+        ("report_s = 1.0\n", "", "report_s"),
+        ("nodes = 2", "nodes = 3", "nodes"),
+        (
+            "host_name = \"berth-1\"",
+            "host_name = \"berth-0\"",
+            "peers.host_name",
+        ),
+        ("cpus = 8.0", "cpus = 17.0", "cluster.teams.cpus"),
+        ("txn_ops = 32", "txn_ops = 1", "txn_ops"),
+        ("rps = 250.0", "rps = \"many\"", "rps"),
+        ("value_kb = 16.0", "value_kb = nan", "value_kb"),
+    ];
+    for (from, to, field) in cases {
+        let text = SETTINGS.replacen(from, to, 1);
+        assert_ne!(text, SETTINGS, "{from}");
+        let error = Settings::parse(&text).expect_err(to).to_string();
+        assert!(error.contains(field), "{to}: {error}");
+    }
+}
+
+#[test]
+fn operators_settings() {
+    let policy = Policy::parse("((sample . 3) (headroom . 0.5))").unwrap();
+    assert_eq!((policy.sample, policy.headroom), (3, 0.5));
+    assert_eq!(policy.queue_depth, Policy::default().queue_depth);
+    assert_eq!(Policy::parse("()").unwrap(), Policy::default());
+    for (text, field) in [
+        ("((sample . 0))", "sample"),
+        ("((samples . 2))", "samples"),
+        ("((age-leases . -1.0))", "age-leases"),
+        ("((headroom . 99.0))", "headroom"),
+        ("((sample", ""),
+    ] {
+        let error = Policy::parse(text).expect_err(text).to_string();
+        assert!(error.contains(field), "{text}: {error}");
+    }
+}
+
+#[test]
+fn reports_and_commands() {
+    let report: Report = serde_json::from_str(
+        r#"{"host":"m-1","endpoint":"10.1.0.1:9000","flavor":"g8","site":"a","standby":true,
+        "tenure":1,"serial":88,"epoch":41,"warning_s":null,"new":[1],
+        "shards":[{"shard":"run-000412/3","try":2,"status":"running"},
+        {"shard":"run-000398/0","try":1,"status":"exited","cause":"done"},
+        {"shard":"run-000398/1","try":1,"status":"exited","cause":"some new cause"}]}"#,
+    )
+    .unwrap();
+    assert_eq!((report.session, report.seq, report.token), (1, 88, 41));
+    assert_eq!(report.tasks[0].phase, Phase::Running);
+    assert_eq!(report.tasks[1].cause, Some(Cause::Done));
+    assert_eq!(report.tasks[2].cause, Some(Cause::Other));
+    let stop = Command::Stop {
+        task: "run-1/0".into(),
+        attempt: 3,
+        grace_s: 10.0,
+    };
+    assert_eq!(
+        serde_json::to_value(stop).unwrap(),
+        json!({"verb":"kill","shard":"run-1/0","try":3,"wind_down_s":10.0})
+    );
+}
+
+#[test]
+fn marks_survive_their_text() {
+    let cases: [(&[u32], &str); 4] = [
+        (&[], ""),
+        (&[4], "4"),
+        (&[0, 1, 2, 3, 7], "0-3,7"),
+        (&[9, 8, 1], "1,8-9"),
+    ];
+    for (tasks, text) in cases {
+        let mut marks = Marks::default();
+        for t in tasks {
+            marks.insert(*t);
+        }
+        assert_eq!(marks.to_text(), text);
+        assert_eq!(Marks::from_text(text, 10), marks);
+    }
+    // A damaged record must not lose tasks, nor invent ones beyond the job.
+    assert_eq!(
+        Marks::from_text("x,2-,5-3,1,8-4000000000", 10).to_text(),
+        "1,8-9"
+    );
+    let marks = Marks::from_text("0-99", 100);
+    assert_eq!(marks.chunk(1, 30).to_text(), "30-59");
+    assert_eq!(marks.chunk(3, 30).to_text(), "90-99");
+}
+
+#[test]
+fn mesh_messages_and_budgets() {
+    let ask = Ask::Progress("run-000412".into());
+    assert_eq!(decode::<Ask>(&encode(&ask)), Some(ask));
+    assert_eq!(decode::<Ask>(&[250, 1, 2]), None);
+    let mut budget = Budget::new(10.0, 10.0, 2.0);
+    let taken = (0..20)
+        .filter(|_| budget.take(1.0, false, 0.0).is_ok())
+        .count();
+    assert_eq!(taken, 8, "data leaves the reserve");
+    assert!(
+        budget.take(1.0, true, 0.0).is_ok(),
+        "control may dip into it"
+    );
+    assert!(budget.take(1.0, false, 1.0).is_ok(), "it fills again");
+}
--- /dev/null
+++ b/tests/simulation.rs
@@ -0,0 +1,576 @@
+//! A seeded simulation: owners that come and go without knowing of each other,
+//! workers as the protocol describes them, a store, and a network that delays,
+//! drops and holds back messages. After every step the rules are checked.
+
+mod common;
+
+use common::*;
+use foxspur::coordination::core::Core;
+use foxspur::coordination::fence::Fence;
+use foxspur::coordination::machine::Standing;
+use foxspur::coordination::sessions::{Answer, CallResult};
+use foxspur::protocol::job::Urgency;
+use foxspur::protocol::worker::{Cause, Command, Direct, Phase, Reply, Report};
+use foxspur::storage::marks::Marks;
+use foxspur::storage::records::{LiveJob, MachineInfo};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+const STEP_S: f64 = 0.1;
+const LIMIT: f64 = 20.0;
+/// For how long a former owner without contact goes on.
+const LINGER_S: f64 = 25.0;
+
+#[derive(Clone)]
+struct Task {
+    attempt: u64,
+    phase: Phase,
+    cause: Option<Cause>,
+    until: f64,
+}
+
+/// A worker by the protocol.
+struct Worker {
+    id: String,
+    session: u64,
+    seq: u64,
+    token: u64,
+    tasks: BTreeMap<(String, u64), Task>,
+    renewed: f64,
+    /// Send time of the report under way, and when its answer is given up.
+    asked: Option<(f64, f64)>,
+    next: f64,
+    hung_until: f64,
+    cut_until: f64,
+}
+
+struct World {
+    now: f64,
+    rng: StdRng,
+    workers: Vec<Worker>,
+    /// The store: live jobs with marks, final jobs, machine record, term.
+    live: BTreeMap<String, (LiveJob, Marks, u64)>,
+    over: BTreeMap<String, (f64, bool)>,
+    record: Vec<MachineInfo>,
+    term: u64,
+    version: u64,
+    /// Owners: the last is the real one, others may linger.
+    owners: Vec<(Core, f64)>,
+    /// Messages: when, what.
+    wire: Vec<(f64, Message)>,
+    started: usize,
+}
+
+#[allow(clippy::large_enum_variant)]
+enum Message {
+    Hello(usize, u64, Report, f64),
+    Answer(usize, u64, f64, Reply),
+    Direct(usize, u64, Direct, bool),
+    Called(usize, u64, Direct, CallResult),
+}
+
+impl World {
+    fn report(&mut self, w: usize) -> Report {
+        let worker = &mut self.workers[w];
+        worker.seq += 1;
+        let tasks: Vec<_> = worker
+            .tasks
+            .iter()
+            .map(|((task, _), t)| (task.as_str(), t.attempt, t.phase, t.cause))
+            .collect();
+        report(&worker.id, worker.session, worker.seq, worker.token, &tasks)
+    }
+
+    fn cpus(&self, task: &str) -> f64 {
+        let job = task.split('/').next().unwrap_or_default();
+        if job.ends_with(['0', '2', '4', '6', '8']) {
+            1.0
+        } else {
+            2.0
+        }
+    }
+
+    fn execute(&mut self, w: usize, commands: &[Command]) {
+        for command in commands {
+            match command {
+                Command::Start { task, attempt } => {
+                    let key = (task.clone(), *attempt);
+                    if self.workers[w].tasks.contains_key(&key) {
+                        continue;
+                    }
+                    // The rules, at each start.
+                    for other in &self.workers {
+                        for ((t, a), state) in &other.tasks {
+                            let on = state.phase != Phase::Exited;
+                            assert!(
+                                !(on && t == task),
+                                "ran_twice: {task} attempt {attempt} on {}, {a} on {} at {:.1}",
+                                self.workers[w].id,
+                                other.id,
+                                self.now
+                            );
+                        }
+                    }
+                    let job = task.split('/').next().unwrap_or_default();
+                    if let Some((at, cancelled)) = self.over.get(job) {
+                        let late = *cancelled && self.now - at > CANCEL_S;
+                        assert!(!late, "ran_cancelled: {task} at {:.1}", self.now);
+                    }
+                    let used: f64 = self
+                        .workers
+                        .iter()
+                        .flat_map(|o| o.tasks.iter())
+                        .filter(|(_, s)| s.phase != Phase::Exited)
+                        .map(|((t, _), _)| self.cpus(t))
+                        .sum();
+                    let more = self.cpus(task);
+                    assert!(used + more <= LIMIT + 1e-6, "quota: {used} + {more}");
+                    let until = self.now + self.rng.random_range(1.0..15.0);
+                    self.started += 1;
+                    self.workers[w].tasks.insert(
+                        key,
+                        Task {
+                            attempt: *attempt,
+                            phase: Phase::Running,
+                            cause: None,
+                            until,
+                        },
+                    );
+                }
+                Command::Stop { task, attempt, .. } => {
+                    let key = (task.clone(), *attempt);
+                    if let Some(t) = self.workers[w].tasks.get_mut(&key) {
+                        if t.phase != Phase::Exited {
+                            t.phase = Phase::Exited;
+                            t.cause = Some(Cause::Stopped);
+                        }
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    let key = (task.clone(), *attempt);
+                    let worker = &mut self.workers[w];
+                    let exited = worker
+                        .tasks
+                        .get(&key)
+                        .is_some_and(|t| t.phase == Phase::Exited);
+                    if exited {
+                        worker.tasks.remove(&key);
+                    }
+                }
+            }
+        }
+    }
+
+    fn delay(&mut self) -> f64 {
+        match self.rng.random_range(0..40) {
+            0 => self.rng.random_range(5.0..60.0),
+            1..4 => self.rng.random_range(0.5..5.0),
+            _ => 0.01,
+        }
+    }
+
+    fn send(&mut self, message: Message) {
+        let w = match &message {
+            Message::Hello(w, ..)
+            | Message::Answer(w, ..)
+            | Message::Direct(w, ..)
+            | Message::Called(w, ..) => *w,
+        };
+        let mut at = self.now + self.delay();
+        let cut = self.workers[w].cut_until;
+        if cut > self.now {
+            // Held back, or lost: a caller then only learns that time is up.
+            if self.rng.random_bool(0.5) {
+                if let Message::Direct(w, base, call, false) | Message::Called(w, base, call, _) =
+                    message
+                {
+                    let given_up = Message::Called(w, base, call, CallResult::Unknown);
+                    self.wire.push((self.now + 4.0, given_up));
+                }
+                return;
+            }
+            at = at.max(cut);
+        }
+        // Every call has a timeout; what comes later is executed all the same.
+        let give_up = self.now + 4.0;
+        let message = match message {
+            Message::Direct(w, base, call, false) if at > give_up => {
+                let given_up = Message::Called(w, base, call.clone(), CallResult::Unknown);
+                self.wire.push((give_up, given_up));
+                Message::Direct(w, base, call, true)
+            }
+            Message::Called(w, base, call, _) if at > give_up => {
+                at = give_up;
+                Message::Called(w, base, call, CallResult::Unknown)
+            }
+            other => other,
+        };
+        self.wire.push((at, message));
+    }
+
+    fn workers_step(&mut self) {
+        for w in 0..self.workers.len() {
+            let now = self.now;
+            // What a hanging machine had is over with its lease: it goes on
+            // within it or not at all.
+            if now - self.workers[w].renewed > LEASE_S {
+                let worker = &mut self.workers[w];
+                worker.tasks.clear();
+                worker.session += 1;
+                worker.renewed = now;
+                worker.asked = None;
+            }
+            if self.workers[w].hung_until > now {
+                continue;
+            }
+            let bad = self.rng.random_bool(0.1);
+            for t in self.workers[w].tasks.values_mut() {
+                if t.phase == Phase::Running && t.until <= now {
+                    t.phase = Phase::Exited;
+                    t.cause = Some(if bad { Cause::Error } else { Cause::Done });
+                }
+            }
+            if self.workers[w]
+                .asked
+                .is_some_and(|(_, give_up)| now > give_up)
+            {
+                self.workers[w].asked = None;
+            }
+            if self.workers[w].asked.is_none() && now >= self.workers[w].next {
+                self.workers[w].next = now + self.rng.random_range(0.75..1.25);
+                self.workers[w].asked = Some((now, now + 4.0));
+                let report = self.report(w);
+                // Mostly to the real owner, sometimes to one that lingers.
+                let n = self.owners.len();
+                let o = if self.rng.random_bool(0.8) {
+                    n - 1
+                } else {
+                    self.rng.random_range(0..n)
+                };
+                let owner = self.owners[o].0.fence.base_term;
+                self.send(Message::Hello(w, owner, report, now));
+            }
+        }
+    }
+
+    fn owner(&mut self, base: u64) -> Option<&mut Core> {
+        self.owners
+            .iter_mut()
+            .map(|o| &mut o.0)
+            .find(|c| c.fence.base_term == base)
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let mut due = Vec::new();
+        let mut i = 0;
+        while i < self.wire.len() {
+            if self.wire[i].0 <= now {
+                due.push(self.wire.remove(i));
+            } else {
+                i += 1;
+            }
+        }
+        due.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, message) in due {
+            match message {
+                Message::Hello(w, base, report, sent) => {
+                    let answer = match self.owner(base) {
+                        Some(core) => core.hello(&report, now),
+                        None => continue,
+                    };
+                    if let Answer::Orders(reply) = answer {
+                        self.send(Message::Answer(w, report.session, sent, reply));
+                    }
+                }
+                Message::Answer(w, session, sent, reply) => {
+                    let worker = &mut self.workers[w];
+                    let ours = worker.asked.is_some_and(|(at, _)| at == sent);
+                    if worker.hung_until > now || !ours || worker.session != session {
+                        continue;
+                    }
+                    worker.asked = None;
+                    if reply.token < worker.token {
+                        continue;
+                    }
+                    worker.token = reply.token;
+                    worker.renewed = sent;
+                    self.execute(w, &reply.commands);
+                }
+                Message::Direct(w, base, call, known) => {
+                    if self.workers[w].hung_until > now {
+                        let at = self.workers[w].hung_until + 0.01;
+                        if !known {
+                            let given_up =
+                                Message::Called(w, base, call.clone(), CallResult::Unknown);
+                            self.wire.push((now + 4.0, given_up));
+                        }
+                        self.wire.push((at, Message::Direct(w, base, call, true)));
+                        continue;
+                    }
+                    // A worker that goes on notices its lease first.
+                    if now - self.workers[w].renewed > LEASE_S {
+                        let worker = &mut self.workers[w];
+                        worker.tasks.clear();
+                        worker.session += 1;
+                        worker.renewed = now;
+                        worker.asked = None;
+                    }
+                    let fits = call.token >= self.workers[w].token
+                        && call.session == self.workers[w].session;
+                    self.workers[w].token = self.workers[w].token.max(call.token);
+                    if fits {
+                        self.execute(w, &call.commands);
+                    }
+                    let report = self.report(w);
+                    let result = if fits {
+                        CallResult::Executed(report)
+                    } else {
+                        CallResult::Rejected(report)
+                    };
+                    // Half of the late ones were given up by their sender.
+                    if !known {
+                        self.send(Message::Called(w, base, call, result));
+                    }
+                }
+                Message::Called(w, base, call, result) => {
+                    let name = self.workers[w].id.as_str().into();
+                    if let Some(core) = self.owner(base) {
+                        core.called(&name, &call, result, now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn owners_step(&mut self) {
+        let now = self.now;
+        let last = self.owners.len() - 1;
+        for o in 0..self.owners.len() {
+            let base = self.owners[o].0.fence.base_term;
+            let core_lost = self.owners[o].1 - LINGER_S;
+            {
+                let core = &mut self.owners[o].0;
+                let confirmed = if o == last { now } else { core_lost };
+                core.tick(now, confirmed);
+                core.probes(now);
+                core.place(now);
+            }
+            for name in std::mem::take(&mut self.owners[o].0.outbox) {
+                let Some((_, call)) = self.owners[o].0.direct_call(&name, now) else {
+                    continue;
+                };
+                let Some(w) = self.workers.iter().position(|w| *w.id == *name) else {
+                    continue;
+                };
+                if self.rng.random_bool(0.05) {
+                    // Given up, and executed late or never.
+                    let late = self.rng.random_range(1.0..90.0);
+                    if self.rng.random_bool(0.7) {
+                        self.wire
+                            .push((now + late, Message::Direct(w, base, call.clone(), true)));
+                    }
+                    self.owners[o]
+                        .0
+                        .called(&name, &call, CallResult::Unknown, now);
+                } else {
+                    self.send(Message::Direct(w, base, call, false));
+                }
+            }
+            // Only the real owner's conditional writes succeed; marks do anyway.
+            for id in self.owners[o].0.marks_due(9) {
+                if self.rng.random_bool(0.5) {
+                    continue;
+                }
+                let Some((_, marks, version)) = self.live.get_mut(&*id) else {
+                    self.owners[o].0.job_over(&id);
+                    continue;
+                };
+                let Some(job) = self.owners[o].0.jobs.get(&id) else {
+                    continue;
+                };
+                if job.version != *version {
+                    let (marks, version) = (marks.clone(), *version);
+                    self.owners[o].0.job_reread(&id, version, &marks);
+                    continue;
+                }
+                self.version += 1;
+                *version = self.version;
+                marks.merge(&job.done);
+                let done = job.done.clone();
+                let complete = job.complete();
+                self.owners[o].0.marks_written(&id, &done, self.version);
+                if complete {
+                    self.live.remove(&*id);
+                    self.over.insert(id.to_string(), (now, false));
+                    self.owners[o].0.job_over(&id);
+                }
+            }
+            if o == last {
+                let core = &mut self.owners[o].0;
+                if core.record_dirty && self.rng.random_bool(0.5) {
+                    core.record_dirty = false;
+                    self.record = core.wanted_record();
+                    let written = self.record.clone();
+                    core.record_written(&written);
+                }
+                if core.wants_new_term(now) {
+                    self.term += 1;
+                    core.raise_term(self.term);
+                }
+            }
+        }
+        // Lingering owners answer for a bounded time only.
+        let last_base = self.owners[last].0.fence.base_term;
+        self.owners
+            .retain(|(c, until)| c.fence.base_term == last_base || now < *until);
+        let alone = self.owners.len() == 1;
+        if let Some((core, _)) = self.owners.last_mut() {
+            if alone && core.fence.quiet_since.is_none() {
+                core.fence.quiet_since = Some(now);
+            }
+        }
+    }
+
+    fn take_over(&mut self, crash: bool) {
+        self.term += 1;
+        if crash {
+            self.owners.pop();
+        } else if let Some(old) = self.owners.last_mut() {
+            old.1 = self.now + LINGER_S;
+        }
+        let quiet = self.owners.is_empty().then_some(self.now);
+        let teams = vec![team("t", 0.0, LIMIT)];
+        let fence = Fence::new(self.term, quiet);
+        let mut core = Core::new(params(teams), self.term, fence, self.term);
+        core.set_types(&types());
+        for info in &self.record {
+            core.inherit(info.clone(), self.now);
+        }
+        for (record, marks, version) in self.live.values() {
+            let mut record = record.clone();
+            record.done = marks.to_text();
+            core.job_added(record, *version, Marks::default());
+        }
+        self.owners.push((core, f64::MAX));
+    }
+}
+
+fn play(seed: u64) -> (usize, usize) {
+    let mut world = World {
+        now: 0.0,
+        rng: StdRng::seed_from_u64(seed),
+        workers: Vec::new(),
+        live: BTreeMap::new(),
+        over: BTreeMap::new(),
+        record: Vec::new(),
+        term: 0,
+        version: 0,
+        owners: Vec::new(),
+        wire: Vec::new(),
+        started: 0,
+    };
+    for i in 0..4 {
+        world.workers.push(Worker {
+            id: format!("m-{i}"),
+            session: 1,
+            seq: 0,
+            token: 0,
+            tasks: BTreeMap::new(),
+            renewed: 0.0,
+            asked: None,
+            next: 0.0,
+            hung_until: 0.0,
+            cut_until: 0.0,
+        });
+    }
+    world.take_over(true);
+    let mut jobs = 0;
+    let mut ids = BTreeSet::new();
+    while world.now < 400.0 {
+        world.now += STEP_S;
+        let now = world.now;
+        let calm = now > 300.0;
+        if !calm && world.rng.random_bool(0.02) {
+            jobs += 1;
+            let id = format!("run-{jobs}");
+            let cpus = world.cpus(&format!("{id}/0"));
+            let tasks = world.rng.random_range(1..8);
+            let record = live(spec(&id, "t", Urgency::Standard, tasks, cpus), now);
+            world.version += 1;
+            let version = world.version;
+            world
+                .live
+                .insert(id.clone(), (record.clone(), Marks::default(), version));
+            for (core, _) in &mut world.owners {
+                core.job_added(record.clone(), version, Marks::default());
+            }
+            ids.insert(id);
+        }
+        if !calm && world.rng.random_bool(0.002) {
+            if let Some(id) = world.live.keys().next().cloned() {
+                world.live.remove(&id);
+                world.over.insert(id.clone(), (now, true));
+                if let Some((core, _)) = world.owners.last_mut() {
+                    core.job_over(&id);
+                }
+            }
+        }
+        if !calm && world.rng.random_bool(0.003) {
+            let crash = world.rng.random_bool(0.5);
+            world.take_over(crash);
+        }
+        if !calm && world.rng.random_bool(0.005) {
+            let w = world.rng.random_range(0..4);
+            let until = now + world.rng.random_range(1.0..20.0);
+            if world.rng.random_bool(0.5) {
+                world.workers[w].hung_until = until;
+            } else {
+                world.workers[w].cut_until = until;
+            }
+        }
+        world.deliver();
+        world.workers_step();
+        world.owners_step();
+        for worker in &world.workers {
+            for ((task, _), state) in &worker.tasks {
+                let job = task.split('/').next().unwrap_or_default();
+                if let Some((at, true)) = world.over.get(job) {
+                    let on = state.phase != Phase::Exited && worker.hung_until <= now;
+                    assert!(
+                        !(on && now - at > CANCEL_S),
+                        "ran_cancelled: {task} on {} at {now:.1}",
+                        worker.id
+                    );
+                }
+            }
+        }
+    }
+    let left: Vec<_> = world.live.keys().collect();
+    let expired = world.owners.last().map(|(c, _)| {
+        c.machines
+            .values()
+            .filter(|m| m.standing == Standing::Expired)
+            .count()
+    });
+    assert!(
+        left.is_empty(),
+        "seed {seed}: not done: {left:?}, expired {expired:?}"
+    );
+    (world.started, ids.len())
+}
+
+#[test]
+fn rules_hold_while_owners_and_messages_come_late() {
+    let mut started = 0;
+    for seed in 0..40 {
+        let (n, jobs) = play(seed);
+        assert!(jobs > 0);
+        started += n;
+    }
+    assert!(
+        started > 1000,
+        "only {started} starts: the check is too weak"
+    );
+}
