--- a/src/coordination/order.rs
+++ b/src/coordination/order.rs
@@ -39,13 +39,14 @@
                 }
                 left_s(o, job, age_s, predicted_s)
             })
+            .chain(job.spec.deadline_s.map(|d| d - age_s - predicted_s))
             .filter(|left| *left >= 0.0)
             .min_by(f64::total_cmp)
     }
 
-    /// Whether stopping others for the job is due: an aim is in reach and will
-    /// be lost soon, or it has none to tell by. Predictions are often wrong by
-    /// half, so half of one is the margin.
+    /// Whether stopping others for the job still serves: an aim is in reach, or
+    /// it has none to tell by. (Waiting until an aim was close cost reminders
+    /// their deadlines and saved riga nothing: see `docs/measurements.md`.)
     pub(super) fn pressed(&self, job: &Job, now: f64) -> bool {
         let aimed = job.spec.deadline_s.is_some()
             || self
@@ -53,11 +54,7 @@
                 .objectives
                 .iter()
                 .any(|o| o.class.as_deref() == Some(job.spec.class.as_str()));
-        let margin = 0.5 * self.predict(job);
-        match self.slack_s(job, now) {
-            Some(left) => left < margin.max(2.0 * self.params.report_s),
-            None => !aimed,
-        }
+        !aimed || self.slack_s(job, now).is_some()
     }
 
     /// Rank, lowest first, and the order within it.
