--- a/src/coordination/preempt.rs
+++ b/src/coordination/preempt.rs
@@ -8,16 +8,23 @@
 use crate::protocol::job::{JobSpec, Urgency};
 
 /// A way to make room: what it loses, the machine, what is stopped.
-type Plan = (f64, usize, Vec<(TaskId, u64)>);
+type Plan = (f64, usize, Vec<((TaskId, u64), f64)>);
 
-/// What stopping the attempt at once would lose, in CPU seconds.
-fn loss(spec: &JobSpec, ran_s: f64) -> f64 {
-    let lost_s = if spec.checkpoint_s > 0.0 {
-        ran_s % spec.checkpoint_s
+/// What stopping the attempt would lose, in CPU seconds, and the grace to stop
+/// it with. Work that can save does so unless saving takes longer than what it
+/// would keep, or the room is needed at once.
+fn loss(spec: &JobSpec, ran_s: f64, at_once: bool) -> (f64, f64) {
+    let weight = spec.cpus.max(spec.gpus).max(0.1);
+    if spec.checkpoint_s <= 0.0 {
+        return (ran_s * weight, 0.0);
+    }
+    let unsaved_s = ran_s % spec.checkpoint_s;
+    if at_once || unsaved_s <= spec.save_s {
+        (unsaved_s * weight, 0.0)
     } else {
-        ran_s
-    };
-    lost_s * spec.cpus.max(spec.gpus).max(0.1)
+        // A little more than it needs, since machines differ.
+        (spec.save_s * weight, spec.save_s * 1.5)
+    }
 }
 
 impl Core {
@@ -78,6 +85,7 @@
             return None;
         }
         let spec = job.spec.clone();
+        let at_once = spec.urgency >= Urgency::High || job.guaranteed;
         let lacking = self.lacking_quota(&spec, usage);
         let mut best: Option<Plan> = None;
         for &i in fitting {
@@ -108,7 +116,8 @@
                 };
                 if yields {
                     let ran = active.running.map_or(0.0, |t| now - t);
-                    victims.push((loss(&victim.spec, ran), key.clone(), victim.spec.clone()));
+                    let (lost, grace) = loss(&victim.spec, ran, at_once);
+                    victims.push((lost, (key.clone(), grace), victim.spec.clone()));
                 }
             }
             victims.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -137,9 +146,9 @@
             }
         }
         let (_, i, chosen) = best?;
-        for key in chosen {
+        for (key, grace) in chosen {
             tracing::info!(task = %key.0.wire(), machine = %slots[i].name, for_job = name, "stopped to make room");
-            self.stop(&slots[i].name.clone(), &key, 0.0);
+            self.stop(&slots[i].name.clone(), &key, grace);
         }
         Some(i)
     }
