--- a/src/app.rs
+++ b/src/app.rs
@@ -109,7 +109,7 @@
         .put(&records::live(&id), json!(record));
     match node.state.txn(&txn, Lane::Data).await {
         Ok(version) => {
-            tracing::info!(job = %id, tasks = record.spec.tasks, "accepted");
+            tracing::info!(job = %id, class = %record.spec.class, tasks = record.spec.tasks, estimate_s = record.spec.estimate_s, "accepted");
             {
                 let now = node.now();
                 if let Some(core) = node.core.borrow_mut().as_mut() {
--- a/src/coordination/preempt.rs
+++ b/src/coordination/preempt.rs
@@ -28,6 +28,23 @@
 }
 
 impl Core {
+    /// How much dearer stopping work of this job is than stopping idle work: a
+    /// guarantee may take from anyone, but should take from the least urgent,
+    /// and first from what is late anyway.
+    fn dearness(&self, victim: &Job, now: f64) -> f64 {
+        let urgency = match victim.spec.urgency {
+            Urgency::Idle => 1.0,
+            Urgency::Standard => 4.0,
+            Urgency::High => 16.0,
+            Urgency::Prod => 64.0,
+        };
+        if self.pressed(victim, now) {
+            urgency
+        } else {
+            urgency / 16.0
+        }
+    }
+
     /// Whether `job` may stop a task of `victim`.
     fn may_stop(&self, job: &Job, victim: &Job, usage: &Usage) -> bool {
         if victim.spec.urgency < job.spec.urgency && job.spec.urgency > Urgency::Idle {
@@ -117,6 +134,7 @@
                 if yields {
                     let ran = active.running.map_or(0.0, |t| now - t);
                     let (lost, grace) = loss(&victim.spec, ran, at_once);
+                    let lost = (lost + victim.spec.cpus) * self.dearness(victim, now);
                     victims.push((lost, (key.clone(), grace), victim.spec.clone()));
                 }
             }
