--- a/src/coordination/place.rs
+++ b/src/coordination/place.rs
@@ -214,11 +214,22 @@
 
     /// Bound tasks that waited past the age limit are drawn again.
     fn unbind_aged(&mut self, now: f64) {
-        let age = self.params.policy.age_leases * self.params.lease_s;
+        let age = self.params.policy.age_reports * self.params.report_s;
+        let unusable: Vec<Name> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| !m.queue.is_empty() && !self.usable(m, now))
+            .map(|(n, _)| n.clone())
+            .collect();
         let mut back = Vec::new();
-        for m in self.machines.values_mut() {
+        for (name, m) in &mut self.machines {
+            // A queue at a machine that fell silent or leaves is no place to wait.
+            let stuck = unusable.contains(name);
+            // What room is being made for waits for it, while others save.
+            let making = m.holding().any(|(_, a)| a.stop.is_some());
             m.queue.retain(|b| {
-                let keep = now - b.since < 2.0 * age;
+                let young = now - b.since < 2.0 * age;
+                let keep = !stuck && (young || b.reserved && making);
                 if !keep {
                     back.push(b.task.clone());
                 }
@@ -242,7 +253,7 @@
         usage: &mut super::quota::Usage,
         now: f64,
     ) {
-        let age = self.params.policy.age_leases * self.params.lease_s;
+        let age = self.params.policy.age_reports * self.params.report_s;
         for slot in slots.iter_mut() {
             let Some(m) = self.machines.get(&slot.name) else {
                 continue;
--- a/src/protocol/policy.rs
+++ b/src/protocol/policy.rs
@@ -1,7 +1,7 @@
 //! The operators' own settings, an optional file of S-expressions:
 //!
 //! ```text
-//! ((sample . 2) (queue-depth . 2) (age-leases . 1.0))
+//! ((sample . 2) (queue-depth . 2) (age-reports . 1.0))
 //! ```
 //!
 //! Every field has a default; an unknown or impossible one is an error, since
@@ -18,9 +18,9 @@
     pub sample: usize,
     /// Waiting tasks bound to a machine at most.
     pub queue_depth: usize,
-    /// Age of a bound task, in workers' leases, from which on it starts next;
+    /// Age of a bound task, in report intervals, from which on it starts next;
     /// at twice that age it is unbound and drawn again.
-    pub age_leases: f64,
+    pub age_reports: f64,
     /// A controller's own lease in the state service, in workers' leases.
     pub member_leases: f64,
     /// For how many workers' leases an owner without contact to the state
@@ -39,7 +39,7 @@
         Policy {
             sample: 2,
             queue_depth: 2,
-            age_leases: 1.0,
+            age_reports: 1.0,
             member_leases: 0.25,
             quiet_leases: 6.0,
             headroom: 0.25,
@@ -70,7 +70,7 @@
             return Err(PolicyError::Field("queue-depth", "is above 1000"));
         }
         for (name, value) in [
-            ("age-leases", policy.age_leases),
+            ("age-reports", policy.age_reports),
             ("member-leases", policy.member_leases),
             ("quiet-leases", policy.quiet_leases),
             ("idle-boots", policy.idle_boots),
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -159,7 +159,7 @@
     for (text, field) in [
         ("((sample . 0))", "sample"),
         ("((samples . 2))", "samples"),
-        ("((age-leases . -1.0))", "age-leases"),
+        ("((age-reports . -1.0))", "age-reports"),
         ("((headroom . 99.0))", "headroom"),
         ("((sample", ""),
     ] {
