--- a/src/coordination/order.rs
+++ b/src/coordination/order.rs
@@ -71,8 +71,14 @@
         let judged = lefts.peek().is_some();
         let late = judged && job.spec.shape == Shape::Sweep && lefts.all(|left| left < 0.0);
         let rank = if late { LATE } else { job.rank() };
-        // Least slack first; without an aim in reach, oldest first after those.
-        let key = self.slack_s(job, now).unwrap_or(1e12 + job.at);
+        // The smallest predicted work left comes first, as in a queue: where not
+        // all can be served in time, most are. Those without an aim in reach
+        // come after, oldest first, so that none is passed over for ever.
+        let left = f64::from(job.spec.tasks.saturating_sub(job.done.len() as u32));
+        let key = match self.slack_s(job, now) {
+            Some(_) => left * predicted_s * job.spec.cpus.max(job.spec.gpus),
+            None => 1e12 + job.at,
+        };
         (rank, key)
     }
 }
