--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -506,6 +506,35 @@
         self.cordon(now);
     }
 
+    /// Silent machines to return before their lease proves them empty: the
+    /// cloud's answer is proof too, and much sooner. Without it one machine
+    /// that died just before a takeover holds up the whole share, and what ran
+    /// on a machine taken without notice waits for a lease. Many silent at
+    /// once are a cut, not deaths: those are waited for.
+    pub fn given_up(&self, now: f64, owner_since: f64) -> Vec<String> {
+        let silent_s = self.params.silent_s() + self.params.report_s;
+        let unknown_s = 1.5 * self.params.report_s + 0.5;
+        let recorded = self.machines.values().filter(|m| m.recorded);
+        let silent: Vec<String> = recorded
+            .clone()
+            .filter(|m| {
+                m.standing != Standing::Expired
+                    && if m.fenced {
+                        now - m.heard > silent_s
+                    } else {
+                        now - owner_since > unknown_s
+                    }
+            })
+            .map(|m| m.info.id.clone())
+            .collect();
+        // An eighth of the fleet at most.
+        if silent.len() <= (recorded.count() / 8).max(1) {
+            silent
+        } else {
+            Vec::new()
+        }
+    }
+
     /// Spot notice: stop what can save, let the short finish.
     fn heed_notices(&mut self, now: f64) {
         let mut stops = Vec::new();
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -415,3 +415,19 @@
         assert!(line.starts_with(state) && line.contains(why), "{text}");
     }
 }
+
+/// One dead machine must not hold up a share for a lease, but a cut must not
+/// empty the fleet.
+#[test]
+fn few_silent_machines_are_given_up_many_are_waited_for() {
+    for (silent, given_up) in [(1, 1), (2, 2), (3, 0), (16, 0)] {
+        let names: Vec<String> = (0..16).map(|i| format!("m{i}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut core = core(free(), 5, &names);
+        for name in &names[silent..] {
+            orders(&mut core, &report(name, 1, 1, 5, &[]), 0.5);
+        }
+        assert!(core.given_up(1.0, 0.0).is_empty());
+        assert_eq!(core.given_up(3.0, 0.0).len(), given_up, "{silent} silent");
+    }
+}
