--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -86,6 +86,9 @@
     pub token: u64,
     /// Reported under our term since we took over.
     pub fenced: bool,
+    /// When its present session was first seen; a session has a lease of its
+    /// own from its beginning, without any answer.
+    pub session_at: f64,
     /// When it first did: until then a former owner may have answered it.
     pub fenced_at: f64,
     /// When a message from it last arrived.
@@ -118,6 +121,7 @@
             token: 0,
             fenced: false,
             fenced_at: now,
+            session_at: now,
             heard: now,
             answered: None,
             notice_at: None,
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -144,6 +144,9 @@
         let newer_session = report.session > m.seen.0;
         let first = m.seen == (0, 0);
         m.seen = (report.session, report.seq);
+        if newer_session {
+            m.session_at = now;
+        }
         m.token = m.token.max(report.token);
         if report.token >= base_term && !m.fenced {
             m.fenced = true;
@@ -478,14 +481,14 @@
             }
             // Ours alone counts once the machine has seen our term: from then
             // on it drops the answers of all earlier owners.
-            let own = m.answered.map(|t| t + lease);
+            // A session seen in a direct call's answer runs a lease from its
+            // beginning, although no report of it was answered yet.
+            let last = m.answered.map_or(m.session_at, |t| t.max(m.session_at));
+            let own = last + lease;
             let from = if m.fenced {
-                let fenced = m.fenced_at + lease;
-                Some(own.map_or(fenced, |o| o.max(fenced)))
+                Some(own.max(m.fenced_at + lease))
             } else {
-                self.fence
-                    .empty_from(lease)
-                    .map(|t| own.map_or(t, |o| t.max(o)))
+                self.fence.empty_from(lease).map(|t| t.max(own))
             };
             if from.is_some_and(|t| now > t && confirmed > t) {
                 expired.push(name.clone());
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -431,3 +431,26 @@
         assert_eq!(core.given_up(3.0, 0.0).len(), given_up, "{silent} silent");
     }
 }
+
+/// Guards against giving up a session that a direct call's answer told of: its
+/// lease runs from its beginning, not from our last answer to the one before
+/// (found by the simulation).
+#[test]
+fn a_new_session_has_a_lease_of_its_own() {
+    let mut core = core(free(), 5, &["m1"]);
+    orders(&mut core, &report("m1", 1, 1, 5, &[]), 1.0);
+    core.probes(9.0);
+    let name = "m1".into();
+    core.machines.get_mut("m1").unwrap().fenced = false;
+    let (_, call) = core.direct_call(&name, 9.0).expect("a probe");
+    core.called(
+        &name,
+        &call,
+        CallResult::Rejected(report("m1", 2, 2, 5, &[])),
+        9.5,
+    );
+    for (at, listed) in [(11.5, true), (19.5, true), (19.7, false)] {
+        core.tick(at, at);
+        assert_eq!(!core.wanted_record().is_empty(), listed, "{at}");
+    }
+}
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -488,7 +488,7 @@
     world.take_over(true);
     let mut jobs = 0;
     let mut ids = BTreeSet::new();
-    while world.now < 400.0 {
+    while world.now < 500.0 {
         world.now += STEP_S;
         let now = world.now;
         let calm = now > 300.0;
