Do not return machines that have just come up

Cause (incident of amman, log): a machine is listed before it can have seen our term, and in that gap it was taken for silent.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -28,8 +28,6 @@
     /// To be returned until the cloud says so.
     returning: BTreeSet<String>,
     next_booking: u64,
-    /// When this ownership was first seen.
-    began: f64,
     listed_at: f64,
     list: Vec<Listed>,
 }
@@ -54,7 +52,6 @@
                     base = term;
                     books = Books {
                         next_booking: books.next_booking,
-                        began: node.now(),
                         ..Books::default()
                     };
                 }
@@ -184,7 +181,7 @@
             return;
         };
         retire_idle(node, core, now);
-        books.returning.extend(core.given_up(now, books.began));
+        books.returning.extend(core.given_up(now));
         for (name, m) in &core.machines {
             // A draining machine may save first, but not for ever.
             let empty = m.holding().next().is_none();
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -514,7 +514,7 @@
     /// that died just before a takeover holds up the whole share, and what ran
     /// on a machine taken without notice waits for a lease. Many silent at
     /// once are a cut, not deaths: those are waited for.
-    pub fn given_up(&self, now: f64, owner_since: f64) -> Vec<String> {
+    pub fn given_up(&self, now: f64) -> Vec<String> {
         let silent_s = self.params.silent_s() + self.params.report_s;
         let unknown_s = 1.5 * self.params.report_s + 0.5;
         let recorded = self.machines.values().filter(|m| m.recorded);
@@ -525,7 +525,9 @@
                     && if m.fenced {
                         now - m.heard > silent_s
                     } else {
-                        now - owner_since > unknown_s
+                        // From when we know of it: one that just came up has
+                        // not had the time to see our term.
+                        now - m.session_at > unknown_s
                     }
             })
             .map(|m| m.info.id.clone())
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -427,8 +427,8 @@
         for name in &names[silent..] {
             orders(&mut core, &report(name, 1, 1, 5, &[]), 0.5);
         }
-        assert!(core.given_up(1.0, 0.0).is_empty());
-        assert_eq!(core.given_up(3.0, 0.0).len(), given_up, "{silent} silent");
+        assert!(core.given_up(1.0).is_empty());
+        assert_eq!(core.given_up(3.0).len(), given_up, "{silent} silent");
     }
 }
 
@@ -454,3 +454,14 @@
         assert_eq!(!core.wanted_record().is_empty(), listed, "{at}");
     }
 }
+
+/// Guards against returning a machine that has just come up, before it could
+/// see our term (found in an incident's log).
+#[test]
+fn a_machine_that_just_came_up_is_not_given_up() {
+    let mut core = core(free(), 5, &[]);
+    orders(&mut core, &report("m1", 1, 1, 0, &[]), 100.0);
+    core.record_written(&[machine("m1", "a", false)]);
+    assert!(core.given_up(100.5).is_empty());
+    assert_eq!(core.given_up(103.0).len(), 1);
+}
