--- /dev/null
+++ b/src/app.rs
@@ -0,0 +1,334 @@
+//! Ties the layers together: the front server that users, workers and health
+//! checks call, the mesh that other controllers call, and the start of a process.
+
+use crate::coordination::dispatch::{self, Dispatcher};
+use crate::coordination::fleet::Fleet;
+use crate::coordination::ledger::Ledger;
+use crate::coordination::member::Member;
+use crate::coordination::node::{Found, Node};
+use crate::coordination::sessions::Answer as WorkerAnswer;
+use crate::protocol::job::{parse_submission, peek_id, valid_id, Accepted, JobState, Progress};
+use crate::protocol::mesh::{self, Answer, Ask};
+use crate::protocol::policy::Policy;
+use crate::protocol::settings::Settings;
+use crate::protocol::state::Txn;
+use crate::protocol::worker::{Redirect, Report};
+use crate::storage::marks::Marks;
+use crate::storage::records::{self, Final, LiveJob};
+use crate::transport::clients::{Failure, Lane};
+use crate::transport::listen;
+use actix::prelude::*;
+use actix_web::web::{Bytes, Data, PayloadConfig};
+use actix_web::{web, App, HttpResponse};
+use serde::Serialize;
+use serde_json::json;
+use std::rc::Rc;
+
+/// Largest request body by the protocol.
+const MAX_BODY: usize = 64 * 1024;
+
+type Shared = Data<Rc<Node>>;
+
+fn answer<T: Serialize>(status: u16, body: &T) -> HttpResponse {
+    let status = actix_web::http::StatusCode::from_u16(status)
+        .unwrap_or(actix_web::http::StatusCode::SERVICE_UNAVAILABLE);
+    HttpResponse::build(status).json(body)
+}
+
+fn refuse(status: u16, why: &str) -> HttpResponse {
+    answer(status, &json!({"error": why}))
+}
+
+/// We cannot tell or record it now; the state service is usually back soon.
+fn unavailable() -> HttpResponse {
+    HttpResponse::ServiceUnavailable()
+        .insert_header(("retry-after", "1"))
+        .json(json!({"error": "not available now"}))
+}
+
+/// Reads a body of at most 64 KiB.
+async fn read_body(mut payload: web::Payload) -> Result<Vec<u8>, HttpResponse> {
+    use futures_util::StreamExt;
+    let mut body = Vec::new();
+    while let Some(chunk) = payload.next().await {
+        let Ok(chunk) = chunk else {
+            return Err(refuse(400, "unreadable body"));
+        };
+        if body.len() + chunk.len() > MAX_BODY {
+            return Err(refuse(400, "body over 64 KiB"));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body)
+}
+
+async fn submit(node: Shared, payload: web::Payload) -> HttpResponse {
+    let body = match read_body(payload).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal,
+    };
+    let spec = match parse_submission(&body) {
+        Ok(spec) => spec,
+        Err(why) => {
+            // A known job is answered as known whatever its repetition holds.
+            return match peek_id(&body) {
+                Some(id) => match known(&node, &id).await {
+                    Ok(Some(known)) => known,
+                    Ok(None) => refuse(400, &why),
+                    Err(_) => unavailable(),
+                },
+                None => refuse(400, &why),
+            };
+        }
+    };
+    let id = spec.id.clone();
+    match node.judge(&spec) {
+        Some(Ok(())) => {}
+        verdict => {
+            return match known(&node, &id).await {
+                Ok(Some(known)) => known,
+                Ok(None) => match verdict {
+                    Some(Err(why)) => refuse(422, &why),
+                    _ => unavailable(),
+                },
+                Err(_) => unavailable(),
+            };
+        }
+    }
+    if let Some(last) = node.finals.borrow().get(&id) {
+        return accepted(200, &id, last.state);
+    }
+    let record = LiveJob {
+        spec,
+        at_ms: node.wall_ms(),
+        done: String::new(),
+    };
+    let txn = Txn::default()
+        .when(&records::live(&id), 0)
+        .when(&records::fin(&id), 0)
+        .put(&records::live(&id), json!(record));
+    match node.state.txn(&txn, Lane::Data).await {
+        Ok(version) => {
+            tracing::info!(job = %id, tasks = record.spec.tasks, "accepted");
+            {
+                let now = node.now();
+                if let Some(core) = node.core.borrow_mut().as_mut() {
+                    core.job_added(record, version, Marks::default());
+                    core.place(now);
+                }
+            }
+            dispatch::drain(&node);
+            accepted(201, &id, JobState::Pending)
+        }
+        Err(Failure::Conflict(_)) => match known(&node, &id).await {
+            Ok(Some(known)) => known,
+            _ => unavailable(),
+        },
+        Err(_) => unavailable(),
+    }
+}
+
+fn accepted(status: u16, id: &str, state: JobState) -> HttpResponse {
+    answer(status, &Accepted { id, state })
+}
+
+/// The answer for a job that is known already.
+async fn known(node: &Rc<Node>, id: &str) -> Result<Option<HttpResponse>, Failure> {
+    Ok(match node.find(id).await? {
+        Found::Live(..) => {
+            let running = progress(node, id).await.is_some_and(|p| p.1 > 0);
+            let state = if running {
+                JobState::Running
+            } else {
+                JobState::Pending
+            };
+            Some(accepted(200, id, state))
+        }
+        Found::Final(last) => Some(accepted(200, id, last.state)),
+        Found::Nothing => None,
+    })
+}
+
+/// Done and running tasks, from the owner.
+async fn progress(node: &Rc<Node>, id: &str) -> Option<(u32, u32)> {
+    if let Some(core) = node.core.borrow().as_ref() {
+        return core.progress(id);
+    }
+    let addr = node.peer(&node.other_owner()?)?;
+    match node.mesh.ask(addr, &Ask::Progress(id.to_string())).await? {
+        Answer::Progress { done, running } => Some((done, running)),
+        _ => None,
+    }
+}
+
+async fn query(node: Shared, path: web::Path<String>) -> HttpResponse {
+    let id = path.into_inner();
+    if !valid_id(&id) {
+        return refuse(404, "no such job");
+    }
+    match node.find(&id).await {
+        Ok(Found::Live(record, _)) => {
+            let (done, running) = match progress(&node, &id).await {
+                Some(progress) => progress,
+                None => {
+                    let marks = Marks::from_text(&record.done, record.spec.tasks);
+                    (marks.len() as u32, 0)
+                }
+            };
+            let state = if running > 0 {
+                JobState::Running
+            } else {
+                JobState::Pending
+            };
+            answer(
+                200,
+                &Progress {
+                    id: &id,
+                    state,
+                    done,
+                    running,
+                },
+            )
+        }
+        Ok(Found::Final(last)) => answer(
+            200,
+            &Progress {
+                id: &id,
+                state: last.state,
+                done: last.done,
+                running: 0,
+            },
+        ),
+        Ok(Found::Nothing) => refuse(404, "no such job"),
+        Err(_) => unavailable(),
+    }
+}
+
+async fn cancel(node: Shared, path: web::Path<String>) -> HttpResponse {
+    let id = path.into_inner();
+    if !valid_id(&id) {
+        return refuse(404, "no such job");
+    }
+    // Marks written meanwhile change the record's version: look again.
+    for _ in 0..8 {
+        let (record, version) = match node.find(&id).await {
+            Ok(Found::Live(record, version)) => (record, version),
+            Ok(Found::Final(last)) => return accepted(200, &id, last.state),
+            Ok(Found::Nothing) => return refuse(404, "no such job"),
+            Err(_) => return unavailable(),
+        };
+        let last = Final {
+            state: JobState::Cancelled,
+            tasks: record.spec.tasks,
+            done: Marks::from_text(&record.done, record.spec.tasks).len() as u32,
+        };
+        let txn = Txn::default()
+            .when(&records::live(&id), version)
+            .delete(&records::live(&id))
+            .put(&records::fin(&id), json!(last));
+        match node.state.txn(&txn, Lane::Data).await {
+            Ok(_) => {
+                tracing::info!(job = %id, "cancelled");
+                node.finals.borrow_mut().put(&id, last);
+                if let Some(core) = node.core.borrow_mut().as_mut() {
+                    core.job_over(&id);
+                }
+                dispatch::drain(&node);
+                return accepted(200, &id, JobState::Cancelled);
+            }
+            Err(Failure::Conflict(_)) => continue,
+            Err(_) => return unavailable(),
+        }
+    }
+    unavailable()
+}
+
+/// Healthy once we know the cluster.
+async fn up(node: Shared) -> HttpResponse {
+    if node.view.borrow().loaded {
+        answer(200, &json!({"up": true}))
+    } else {
+        unavailable()
+    }
+}
+
+async fn hello(node: Shared, payload: web::Payload) -> HttpResponse {
+    let body = match read_body(payload).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal,
+    };
+    let Ok(report) = serde_json::from_slice::<Report>(&body) else {
+        return refuse(400, "not a report");
+    };
+    if !node.entitled() {
+        let to = node.other_owner();
+        return answer(421, &Redirect { to: to.as_deref() });
+    }
+    let now = node.now();
+    let verdict = match node.core.borrow_mut().as_mut() {
+        Some(core) => core.hello(&report, now),
+        None => WorkerAnswer::Refuse,
+    };
+    match verdict {
+        WorkerAnswer::Orders(reply) => {
+            dispatch::drain(&node);
+            answer(200, &reply)
+        }
+        WorkerAnswer::Refuse => unavailable(),
+        WorkerAnswer::Superseded => {
+            tracing::warn!(machine = %report.machine, token = report.token, "a worker saw a higher term");
+            node.doubt.set(true);
+            unavailable()
+        }
+    }
+}
+
+async fn mesh_call(node: Shared, body: Bytes) -> HttpResponse {
+    let Some(ask) = mesh::decode::<Ask>(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let reply = match (ask, node.core.borrow().as_ref()) {
+        (Ask::Progress(id), Some(core)) => match core.progress(&id) {
+            Some((done, running)) => Answer::Progress { done, running },
+            None => Answer::NotMine,
+        },
+        _ => Answer::NotMine,
+    };
+    HttpResponse::Ok().body(mesh::encode(&reply))
+}
+
+/// Starts everything and serves until the process is killed.
+pub async fn run(settings: Settings, policy: Policy) -> std::io::Result<()> {
+    let node = Node::new(settings, policy);
+    let sockets = node.settings.cluster.quota.max_sockets;
+    let data = Data::new(node.clone());
+    let front = App::new()
+        .app_data(data.clone())
+        .app_data(PayloadConfig::new(MAX_BODY))
+        .route("/up", web::get().to(up))
+        .route("/hello", web::post().to(hello))
+        .route("/work", web::post().to(submit))
+        .route("/work/{id}", web::get().to(query))
+        .route("/work/{id}/cancel", web::post().to(cancel));
+    // A quarter of the sockets is left to our own calls.
+    listen::serve(front, node.settings.front, sockets * 5 / 8).await?;
+    let inner = App::new()
+        .app_data(data)
+        .app_data(PayloadConfig::new(MAX_BODY))
+        .route("/mesh", web::post().to(mesh_call));
+    listen::serve(inner, node.settings.mesh_addr, sockets / 8).await?;
+    Member { node: node.clone() }.start();
+    Ledger { node: node.clone() }.start();
+    Fleet { node: node.clone() }.start();
+    Dispatcher {
+        node: node.clone(),
+        beats: 0,
+    }
+    .start();
+    tracing::info!(
+        host = %node.settings.host_name,
+        version = env!("CARGO_PKG_VERSION"),
+        "started"
+    );
+    std::future::pending().await
+}
--- /dev/null
+++ b/src/coordination/core.rs
@@ -0,0 +1,413 @@
+//! The owner's view of its share: jobs, machines and what is wanted of them.
+
+use super::fence::Fence;
+use super::job::{Job, Name, TaskId};
+use super::machine::{Active, Machine, Standing};
+use crate::protocol::cloud::MachineType;
+use crate::protocol::job::Shape;
+use crate::protocol::policy::Policy;
+use crate::protocol::settings::{Settings, Team};
+use crate::storage::marks::Marks;
+use crate::storage::records::{LiveJob, MachineInfo};
+use hdrhistogram::Histogram;
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Lease margin: twice the clocks' drift, and the steps in which timers fire.
+pub fn with_margin(lease_s: f64) -> f64 {
+    lease_s * 1.002 + 0.1
+}
+
+/// What the core needs of the settings.
+#[derive(Clone, Debug)]
+pub struct Params {
+    pub lease_s: f64,
+    pub report_s: f64,
+    pub cancel_s: f64,
+    pub teams: Vec<Team>,
+    pub policy: Policy,
+}
+
+impl Params {
+    pub fn new(settings: &Settings, policy: &Policy) -> Params {
+        let workers = &settings.cluster.workers;
+        Params {
+            lease_s: workers.lease_s,
+            report_s: workers.report_s,
+            cancel_s: workers.cancel_s,
+            teams: settings.cluster.teams.clone(),
+            policy: policy.clone(),
+        }
+    }
+    /// A machine silent for this long gets no new tasks: reports come within
+    /// 1.25 `report_s`; twice that is a miss, with time for one retry.
+    pub fn silent_s(&self) -> f64 {
+        2.5 * self.report_s + 0.5
+    }
+}
+
+/// The owner's view.
+pub struct Core {
+    pub params: Params,
+    /// Current term; answers and commands carry it.
+    pub term: u64,
+    pub fence: Fence,
+    pub jobs: BTreeMap<Name, Job>,
+    pub machines: BTreeMap<Name, Machine>,
+    pub types: HashMap<String, MachineType>,
+    /// Machines with commands to send straight away.
+    pub outbox: BTreeSet<Name>,
+    /// Jobs with marks to write.
+    pub unwritten: BTreeSet<Name>,
+    /// Something changed that may let tasks start.
+    pub dirty: bool,
+    /// The written machine list differs from what it should be.
+    pub record_dirty: bool,
+    pub(super) attempts: u64,
+    pub(super) run_ms: HashMap<String, Histogram<u32>>,
+    pub(super) rng: SmallRng,
+}
+
+impl Core {
+    pub fn new(params: Params, term: u64, fence: Fence, seed: u64) -> Core {
+        Core {
+            params,
+            term,
+            fence,
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            types: HashMap::new(),
+            outbox: BTreeSet::new(),
+            unwritten: BTreeSet::new(),
+            dirty: true,
+            record_dirty: false,
+            attempts: 0,
+            run_ms: HashMap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Attempts only grow, also across takeovers: the term is their upper part.
+    pub(super) fn next_attempt(&mut self) -> u64 {
+        self.attempts += 1;
+        (self.fence.base_term << 24) + self.attempts
+    }
+
+    pub fn set_types(&mut self, types: &[MachineType]) {
+        self.types = types.iter().map(|t| (t.name.clone(), t.clone())).collect();
+        self.dirty = true;
+    }
+
+    /// A machine of the record we took over.
+    pub fn inherit(&mut self, info: MachineInfo, now: f64) {
+        let name = super::machine::name(&info);
+        self.machines
+            .entry(name)
+            .or_insert_with(|| Machine::new(info, true, now));
+    }
+
+    /// A live job, from its record or freshly accepted.
+    pub fn job_added(&mut self, record: LiveJob, version: u64, extra: Marks) {
+        let id: Name = record.spec.id.as_str().into();
+        if let Some(job) = self.jobs.get_mut(&id) {
+            // A record read twice, our own mark seen by the watch, or a mark that
+            // a former owner still wrote: its worker may have forgotten the
+            // task since, so the mark must not be lost.
+            if version > job.version {
+                let done = Marks::from_text(&record.done, job.spec.tasks);
+                job.version = version;
+                job.written.merge(&done);
+                job.done.merge(&done);
+            }
+            return;
+        }
+        let mut done = Marks::from_text(&record.done, record.spec.tasks);
+        done.merge(&extra);
+        let job = Job::new(record.spec, record.at_ms, version, done);
+        if job.complete() {
+            self.unwritten.insert(id.clone());
+        }
+        self.jobs.insert(id, job);
+        self.dirty = true;
+    }
+
+    /// The job is over, by the record: nothing of it may start, all of it must go.
+    pub fn job_over(&mut self, id: &str) {
+        let Some((name, _)) = self.jobs.get_key_value(id) else {
+            return;
+        };
+        let name = name.clone();
+        for machine in self.machines.values_mut() {
+            machine.queue.retain(|b| b.task.job != name);
+        }
+        let Some(job) = self.jobs.get_mut(&name) else {
+            return;
+        };
+        job.over = true;
+        job.bound = 0;
+        let on: Vec<(u32, (Name, u64))> = job.on.iter().map(|(t, m)| (*t, m.clone())).collect();
+        for (index, (machine, attempt)) in on {
+            let task = TaskId {
+                job: name.clone(),
+                index,
+            };
+            self.stop(&machine, &(task, attempt), 0.0);
+        }
+        self.unwritten.remove(&name);
+        self.dirty = true;
+        self.drop_finished(&name);
+    }
+
+    /// Forgets an over job once nothing of it can be anywhere.
+    pub(super) fn drop_finished(&mut self, id: &str) {
+        let gone = self.jobs.get(id).is_some_and(|j| j.over && j.on.is_empty());
+        let shown = self
+            .machines
+            .values()
+            .any(|m| m.active.keys().any(|(t, _)| &*t.job == id));
+        if gone && !shown {
+            self.jobs.remove(id);
+        }
+    }
+
+    /// Wants an attempt stopped.
+    pub(super) fn stop(&mut self, machine: &str, key: &(TaskId, u64), grace_s: f64) {
+        let Some((name, m)) = self
+            .machines
+            .get_key_value(machine)
+            .map(|(n, _)| n.clone())
+            .and_then(|n| self.machines.get_mut(&n).map(|m| (n, m)))
+        else {
+            return;
+        };
+        if let Some(active) = m.active.get_mut(key) {
+            let sooner = active.stop.is_none_or(|g| grace_s < g);
+            if !active.exited() && sooner {
+                active.stop = Some(grace_s);
+                active.unsent = true;
+                self.outbox.insert(name);
+            }
+        }
+    }
+
+    /// Starts a task on a machine: from now on it counts as on.
+    pub(super) fn start(&mut self, machine: &Name, task: TaskId, now: f64) {
+        let attempt = self.next_attempt();
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(m) = self.machines.get_mut(machine) else {
+            job.push(task.index);
+            return;
+        };
+        job.on.insert(task.index, (machine.clone(), attempt));
+        m.active.insert((task, attempt), Active::new(now));
+        self.outbox.insert(machine.clone());
+    }
+
+    /// An attempt is not on its machine any more (or never was).
+    pub(super) fn off(&mut self, key: &(TaskId, u64)) {
+        let (task, attempt) = key;
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            if job.on.get(&task.index).is_some_and(|(_, a)| a == attempt) {
+                job.on.remove(&task.index);
+                job.push(task.index);
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// Forgets all that a machine had: it was proven empty or is gone.
+    pub(super) fn clear_machine(&mut self, name: &str) {
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        m.strangers = 0;
+        let active = std::mem::take(&mut m.active);
+        let queue = std::mem::take(&mut m.queue);
+        for key in active.keys() {
+            self.off(key);
+        }
+        for bound in queue {
+            if let Some(job) = self.jobs.get_mut(&bound.task.job) {
+                job.bound = job.bound.saturating_sub(1);
+                job.push(bound.task.index);
+            }
+        }
+        let jobs: BTreeSet<Name> = active.into_keys().map(|(t, _)| t.job).collect();
+        for job in jobs {
+            self.drop_finished(&job);
+        }
+    }
+
+    /// The cloud said the machine and all on it are gone.
+    pub fn machine_gone(&mut self, name: &str) {
+        self.clear_machine(name);
+        if self.machines.remove(name).is_some_and(|m| m.recorded) {
+            self.record_dirty = true;
+        }
+        self.outbox.remove(name);
+        self.dirty = true;
+    }
+
+    /// Takes a machine out of use; its tasks stop.
+    pub fn drain(&mut self, name: &str) {
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        if m.standing != Standing::Up {
+            return;
+        }
+        m.standing = Standing::Draining;
+        let keys: Vec<(TaskId, u64)> = m.holding().map(|(k, _)| k.clone()).collect();
+        let queue = std::mem::take(&mut m.queue);
+        for bound in queue {
+            if let Some(job) = self.jobs.get_mut(&bound.task.job) {
+                job.bound = job.bound.saturating_sub(1);
+                job.push(bound.task.index);
+            }
+        }
+        for key in keys {
+            let grace = self.save_grace(&key.0.job);
+            self.stop(name, &key, grace);
+        }
+        self.dirty = true;
+    }
+
+    /// Grace with which a task of the job can save, 0 if it never does.
+    pub(super) fn save_grace(&self, job: &str) -> f64 {
+        self.jobs.get(job).map_or(0.0, |j| {
+            if j.spec.checkpoint_s > 0.0 {
+                j.spec.save_s + self.params.report_s
+            } else {
+                0.0
+            }
+        })
+    }
+
+    /// Wanted machines of the written record.
+    pub fn wanted_record(&self) -> Vec<MachineInfo> {
+        self.machines
+            .values()
+            .filter(|m| m.standing != Standing::Expired)
+            .map(|m| m.info.clone())
+            .collect()
+    }
+
+    /// The record with these machines is written.
+    pub fn record_written(&mut self, written: &[MachineInfo]) {
+        for info in written {
+            if let Some(m) = self.machines.get_mut(info.id.as_str()) {
+                if !m.recorded && m.standing != Standing::Expired {
+                    m.recorded = true;
+                    self.dirty = true;
+                }
+            }
+        }
+    }
+
+    /// Prediction for a task: the job's estimate, or the recent median of its
+    /// class, or of all, or else a lease.
+    pub fn predict(&self, job: &Job) -> f64 {
+        if job.spec.estimate_s > 0.0 || job.spec.shape == Shape::Service {
+            return job.spec.estimate_s;
+        }
+        let median = |class: &str| {
+            self.run_ms
+                .get(class)
+                .filter(|h| !h.is_empty())
+                .map(|h| h.value_at_quantile(0.5) as f64 / 1000.0)
+        };
+        median(&job.spec.class)
+            .or_else(|| median(""))
+            .unwrap_or(self.params.lease_s)
+    }
+
+    /// Remembers how long a task ran.
+    pub(super) fn ran(&mut self, class: &str, run_s: f64) {
+        // "" stands for all classes; classes come from users, so they are bounded.
+        for class in [class, ""] {
+            if self.run_ms.len() >= 256 && !self.run_ms.contains_key(class) {
+                continue;
+            }
+            let entry = self.run_ms.entry(class.to_string());
+            let Ok(fresh) = Histogram::new_with_bounds(1, 86_400_000, 2) else {
+                continue;
+            };
+            let histogram = entry.or_insert(fresh);
+            // "Recent": old runs fade once there are many.
+            if histogram.len() > 500 {
+                histogram.reset();
+            }
+            histogram.saturating_record((run_s * 1000.0).max(1.0) as u64);
+        }
+    }
+
+    /// Done and running tasks of a job.
+    pub fn progress(&self, id: &str) -> Option<(u32, u32)> {
+        let job = self.jobs.get(id)?;
+        let running = job
+            .on
+            .iter()
+            .filter(|(index, (machine, attempt))| {
+                let task = TaskId {
+                    job: id.into(),
+                    index: **index,
+                };
+                self.machines
+                    .get(machine)
+                    .and_then(|m| m.active.get(&(task, *attempt)))
+                    .is_some_and(|a| a.running.is_some() && !a.exited())
+            })
+            .count();
+        Some((job.written.len() as u32, running as u32))
+    }
+
+    /// Jobs whose marks differ from what is written.
+    pub fn marks_due(&self, most: usize) -> Vec<Name> {
+        self.unwritten.iter().take(most).cloned().collect()
+    }
+
+    /// These marks of the job are written.
+    pub fn marks_written(&mut self, id: &str, marks: &Marks, version: u64) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.version = version;
+        job.written.merge(marks);
+        if job.written.len() == job.done.len() {
+            self.unwritten.remove(id);
+        }
+    }
+
+    /// The record of a job was read anew (after a conflict).
+    pub fn job_reread(&mut self, id: &str, version: u64, done: &Marks) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.version = version;
+            job.written.merge(done);
+            job.done.merge(done);
+            self.unwritten.insert(id.into());
+        }
+    }
+
+    /// Whether a term bump is needed: a direct start without an answer stays
+    /// possible until a higher term is seen. An eighth of `cancel_s` leaves
+    /// time for that within the deadline of a cancellation.
+    pub fn wants_new_term(&self, now: f64) -> bool {
+        let patience = self.params.cancel_s / 8.0;
+        self.machines.values().any(|m| {
+            m.standing != Standing::Expired
+                && now - m.heard < self.params.silent_s()
+                && m.active.values().any(|a| {
+                    a.limbo
+                        .is_some_and(|(term, at)| term >= self.term && now - at > patience)
+                })
+        })
+    }
+
+    /// A higher term was written for this share.
+    pub fn raise_term(&mut self, term: u64) {
+        self.term = self.term.max(term);
+    }
+}
--- /dev/null
+++ b/src/coordination/dispatch.rs
@@ -0,0 +1,83 @@
+//! Sends direct commands: works off the difference between what machines
+//! should do and what they were told. Also drives the core's clock.
+
+use super::node::Node;
+use super::sessions::CallResult;
+use crate::transport::clients::DirectOutcome;
+use actix::prelude::*;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Sends what the core wants sent straight away.
+pub fn drain(node: &Rc<Node>) {
+    let now = node.now();
+    let mut calls = Vec::new();
+    if !node.entitled() {
+        return;
+    }
+    if let Some(core) = node.core.borrow_mut().as_mut() {
+        let base = core.fence.base_term;
+        for name in std::mem::take(&mut core.outbox) {
+            if core.machines.get(&name).is_some_and(|m| m.calling) {
+                core.outbox.insert(name);
+                continue;
+            }
+            if let Some((addr, call)) = core.direct_call(&name, now) {
+                calls.push((base, name, addr, call));
+            }
+        }
+    }
+    for (base, name, addr, call) in calls {
+        let node = node.clone();
+        actix_rt::spawn(async move {
+            let result = match addr.parse() {
+                Ok(addr) => match node.workers.send(addr, &call).await {
+                    DirectOutcome::Executed(report) => CallResult::Executed(report),
+                    DirectOutcome::Rejected(report) => CallResult::Rejected(report),
+                    DirectOutcome::NotSent => CallResult::NotSent,
+                    DirectOutcome::Unknown => CallResult::Unknown,
+                },
+                Err(_) => CallResult::NotSent,
+            };
+            let now = node.now();
+            if let Some(core) = node.core.borrow_mut().as_mut() {
+                if core.fence.base_term == base {
+                    core.called(&name, &call, result, now);
+                    if core.dirty {
+                        core.place(now);
+                    }
+                }
+            }
+            drain(&node);
+        });
+    }
+}
+
+/// Drives the core's clock.
+pub struct Dispatcher {
+    pub node: Rc<Node>,
+    pub beats: u64,
+}
+
+impl Actor for Dispatcher {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        // A third of a report interval: work found by time alone (ages,
+        // silence, probes) then waits less than a worker's own pace.
+        let report_s = self.node.settings.cluster.workers.report_s;
+        let every = Duration::from_secs_f64((report_s / 3.0).clamp(0.1, 0.5));
+        ctx.run_interval(every, |this, _| {
+            this.beats += 1;
+            let now = this.node.now();
+            if let Some(core) = this.node.core.borrow_mut().as_mut() {
+                core.tick(now);
+                core.probes(now);
+                if core.dirty || this.beats % 4 == 0 {
+                    core.place(now);
+                }
+            }
+            drain(&this.node);
+        });
+    }
+}
--- /dev/null
+++ b/src/coordination/fleet.rs
@@ -0,0 +1,329 @@
+//! The fleet: rents what is wanted, returns what is broken, silent or idle.
+
+use super::fleet_plan::{wanted, Demand, Offer};
+use super::machine::Standing;
+use super::node::Node;
+use crate::protocol::cloud::{Listed, ListedState, Rental, TypeList};
+use crate::protocol::state::Txn;
+use crate::storage::records::{self, MachineInfo};
+use crate::transport::clients::{Failure, Lane};
+use actix::prelude::*;
+use serde_json::json;
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Keeps the fleet.
+pub struct Fleet {
+    pub node: Rc<Node>,
+}
+
+/// What the loop remembers.
+#[derive(Default)]
+struct Books {
+    /// Rented and not reporting yet, since when.
+    booting: HashMap<String, (MachineInfo, f64)>,
+    /// Offers refused: not before this time.
+    closed: HashMap<Offer, (f64, f64)>,
+    /// To be returned until the cloud says so.
+    returning: BTreeSet<String>,
+    next_booking: u64,
+    listed_at: f64,
+    list: Vec<Listed>,
+}
+
+impl Actor for Fleet {
+    type Context = Context<Self>;
+
+    fn started(&mut self, _: &mut Self::Context) {
+        let node = self.node.clone();
+        actix_rt::spawn(async move { keep_types(node).await });
+        let node = self.node.clone();
+        actix_rt::spawn(async move {
+            let mut books = Books::default();
+            let mut base = 0;
+            loop {
+                actix_rt::time::sleep(Duration::from_secs(1)).await;
+                let term = node.core.borrow().as_ref().map(|c| c.fence.base_term);
+                let Some(term) = term.filter(|_| node.entitled()) else {
+                    continue;
+                };
+                if term != base {
+                    base = term;
+                    books = Books {
+                        next_booking: books.next_booking,
+                        ..Books::default()
+                    };
+                }
+                round(&node, &mut books).await;
+            }
+        });
+    }
+}
+
+/// Learns the machine types, and keeps them where a restart finds them.
+async fn keep_types(node: Rc<Node>) {
+    loop {
+        let known = node.view.borrow().types.is_some();
+        let owner = node.core.borrow().is_some();
+        if !known || owner {
+            if let Ok(list) = node.cloud.types().await {
+                let news = node.view.borrow().types.as_ref().is_none_or(|old| {
+                    // Prices wander; only what decides a fit is news.
+                    old.len() != list.types.len()
+                        || old.iter().zip(&list.types).any(|(a, b)| {
+                            a.name != b.name
+                                || a.cpus != b.cpus
+                                || a.gpus != b.gpus
+                                || a.memory_gb != b.memory_gb
+                                || a.zones != b.zones
+                        })
+                });
+                node.view.borrow_mut().types = Some(list.types.clone());
+                if news {
+                    let value = json!(TypeList {
+                        types: list.types.clone()
+                    });
+                    let txn = Txn::default().put(records::TYPES, value);
+                    if node.state.txn(&txn, Lane::Control).await.is_err() {
+                        node.view.borrow_mut().types = None;
+                    }
+                }
+            }
+        }
+        if let Some(core) = node.core.borrow_mut().as_mut() {
+            if core.types.is_empty() {
+                if let Some(types) = &node.view.borrow().types {
+                    core.set_types(types);
+                }
+            }
+        }
+        let known = node.view.borrow().types.is_some();
+        let pause = if known { 30.0 } else { 1.0 };
+        actix_rt::time::sleep(Duration::from_secs_f64(pause)).await;
+    }
+}
+
+async fn round(node: &Rc<Node>, books: &mut Books) {
+    let lag = node.settings.cluster.cloud.list_lag_s;
+    if node.now() - books.listed_at > lag / 2.0 {
+        if let Ok(list) = node.cloud.machines().await {
+            books.listed_at = node.now();
+            books.list = list;
+            compare(node, books);
+        }
+    }
+    give_back(node, books).await;
+    rent(node, books).await;
+}
+
+/// Compares the machine list with what we know.
+fn compare(node: &Rc<Node>, books: &mut Books) {
+    let now = node.now();
+    let mut core = node.core.borrow_mut();
+    let Some(core) = core.as_mut() else {
+        return;
+    };
+    let lease = core.params.lease_s;
+    for listed in &books.list {
+        let boot_s = core.types.get(&listed.kind).map_or(60.0, |t| t.boot_s);
+        let machine = core.machines.get(listed.id.as_str());
+        let give_up = match listed.state {
+            ListedState::Failed => true,
+            // Up to 1.5 times is usual; some take several times as long.
+            ListedState::Booting => machine.is_none() && listed.age_s > 4.0 * boot_s,
+            ListedState::Running => {
+                machine.is_some_and(|m| {
+                    // Past its lease nothing is lost by waiting a while for a
+                    // cut to end; after twice a boot a new one would be up.
+                    m.standing == Standing::Expired && now - m.heard > 2.0 * lease + boot_s
+                })
+            }
+        };
+        if give_up {
+            books.returning.insert(listed.id.clone());
+        }
+        if listed.state == ListedState::Booting && machine.is_none() {
+            let info = MachineInfo {
+                id: listed.id.clone(),
+                addr: String::new(),
+                kind: listed.kind.clone(),
+                zone: listed.zone.clone(),
+                spot: listed.spot,
+            };
+            books
+                .booting
+                .entry(listed.id.clone())
+                .or_insert((info, now - listed.age_s));
+        }
+    }
+    let gone: Vec<String> = core
+        .machines
+        .iter()
+        .filter(|(n, m)| {
+            m.standing == Standing::Expired
+                && now - m.heard > 4.0 * node.settings.cluster.cloud.list_lag_s
+                && !books.list.iter().any(|l| l.id == ***n)
+        })
+        .map(|(n, _)| n.to_string())
+        .collect();
+    for name in gone {
+        core.machine_gone(&name);
+    }
+}
+
+/// Returns machines; only the cloud's 200 proves them gone.
+async fn give_back(node: &Rc<Node>, books: &mut Books) {
+    let now = node.now();
+    {
+        let mut core = node.core.borrow_mut();
+        let Some(core) = core.as_mut() else {
+            return;
+        };
+        retire_idle(node, core, now);
+        for (name, m) in &core.machines {
+            // A draining machine may save first, but not for ever.
+            let empty = m.holding().next().is_none();
+            if m.standing == Standing::Draining && (empty || now - m.idle_since > 60.0) {
+                books.returning.insert(name.to_string());
+            }
+        }
+        for name in &books.returning {
+            core.drain(name);
+        }
+    }
+    if books.returning.is_empty() {
+        return;
+    }
+    let names: Vec<String> = books.returning.iter().take(100).cloned().collect();
+    if node.cloud.give_back(names.clone()).await.is_ok() {
+        tracing::info!(machines = ?names, "returned");
+        if let Some(core) = node.core.borrow_mut().as_mut() {
+            for name in &names {
+                core.machine_gone(name);
+            }
+        }
+        for name in names {
+            books.returning.remove(&name);
+            books.booting.remove(&name);
+            books.list.retain(|l| l.id != name);
+        }
+        super::dispatch::drain(node);
+    }
+}
+
+/// Drains one machine that has been idle for long while much is free.
+fn retire_idle(node: &Rc<Node>, core: &mut super::core::Core, now: f64) {
+    let used: f64 = core.usage().values().map(|u| u.0).sum();
+    let waiting = core.jobs.values().any(|j| j.waiting() > 0);
+    let have: f64 = core
+        .machines
+        .values()
+        .filter(|m| m.standing == Standing::Up)
+        .filter_map(|m| core.types.get(&m.info.kind))
+        .map(|t| t.cpus)
+        .sum();
+    if waiting || used * (1.0 + 2.0 * node.policy.headroom) > have {
+        return;
+    }
+    let idle = core
+        .machines
+        .iter()
+        .filter(|(_, m)| m.standing == Standing::Up && m.active.is_empty() && m.queue.is_empty())
+        .find(|(_, m)| {
+            let boot_s = core.types.get(&m.info.kind).map_or(60.0, |t| t.boot_s);
+            now - m.idle_since > node.policy.idle_boots * boot_s
+        })
+        .map(|(n, _)| n.clone());
+    if let Some(name) = idle {
+        core.drain(&name);
+    }
+}
+
+/// Rents what is wanted.
+async fn rent(node: &Rc<Node>, books: &mut Books) {
+    let now = node.now();
+    let plan = {
+        let core = node.core.borrow();
+        let Some(core) = core.as_ref() else {
+            return;
+        };
+        if core.types.is_empty() {
+            return;
+        }
+        let types = &core.types;
+        books.booting.retain(|id, (info, since)| {
+            let boot_s = types.get(&info.kind).map_or(60.0, |t| t.boot_s);
+            // A machine that takes this long is no help to count on.
+            !core.machines.contains_key(id.as_str()) && now - *since < 2.0 * boot_s
+        });
+        let mut demand = Demand {
+            used_cpus: core.usage().values().map(|u| u.0).sum(),
+            ..Demand::default()
+        };
+        for job in core.jobs.values() {
+            let n = job.waiting() + job.bound;
+            if !job.over && n > 0 {
+                demand.waiting.push((job.spec.clone(), n));
+            }
+        }
+        demand.machines = core
+            .machines
+            .values()
+            .filter(|m| m.standing == Standing::Up)
+            .map(|m| m.info.clone())
+            .chain(books.booting.values().map(|b| b.0.clone()))
+            .collect();
+        wanted(&demand, types, node.policy.headroom, |offer| {
+            books.closed.get(offer).is_none_or(|c| now >= c.0)
+        })
+    };
+    for (offer, count) in plan {
+        books.next_booking += 1;
+        let rental = Rental {
+            request: format!(
+                "{}-{:x}-{}",
+                node.settings.host_name,
+                node.boot.get(),
+                books.next_booking
+            ),
+            kind: offer.kind.clone(),
+            zone: offer.zone.clone(),
+            spot: offer.spot,
+            count,
+        };
+        let given = match node.cloud.rent(&rental).await {
+            Ok(names) => names.machines,
+            Err(Failure::Refused) => Vec::new(),
+            Err(error) => {
+                // It may come true later: unexpected machines are adopted.
+                tracing::info!(%error, "rental without an answer");
+                Vec::new()
+            }
+        };
+        if (given.len() as u32) < count {
+            // Sold out: ask again after a boot time or so, then more rarely.
+            let first = node.settings.cluster.cloud.list_lag_s;
+            let pause = books
+                .closed
+                .get(&offer)
+                .map_or(first, |c| (c.1 * 1.5).min(first * 4.0));
+            books.closed.insert(offer.clone(), (now + pause, pause));
+        } else {
+            books.closed.remove(&offer);
+        }
+        if !given.is_empty() {
+            tracing::info!(kind = %offer.kind, zone = %offer.zone, spot = offer.spot, asked = count, got = given.len(), "rented");
+        }
+        for id in given {
+            let info = MachineInfo {
+                id: id.clone(),
+                addr: String::new(),
+                kind: offer.kind.clone(),
+                zone: offer.zone.clone(),
+                spot: offer.spot,
+            };
+            books.booting.insert(id, (info, now));
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/ledger.rs
@@ -0,0 +1,284 @@
+//! The job ledger: follows live jobs while we own the share, and writes done
+//! marks and final states in batches.
+
+use super::job::Name;
+use super::node::Node;
+use crate::protocol::job::JobState;
+use crate::protocol::state::{Entry, Event, Txn};
+use crate::storage::marks::Marks;
+use crate::storage::records::{self, Final, LiveJob, MarkChunk};
+use crate::transport::clients::{Failure, Lane};
+use actix::prelude::*;
+use serde_json::json;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Writes what is due.
+pub struct Ledger {
+    pub node: Rc<Node>,
+}
+
+impl Actor for Ledger {
+    type Context = Context<Self>;
+
+    fn started(&mut self, _: &mut Self::Context) {
+        let node = self.node.clone();
+        // Batches of a quarter of a report interval: a user expects `done`
+        // within 3 s, and the state service counts every put.
+        let report_s = node.settings.cluster.workers.report_s;
+        let every = Duration::from_secs_f64((report_s / 4.0).clamp(0.05, 0.25));
+        actix_rt::spawn(async move {
+            loop {
+                actix_rt::time::sleep(every).await;
+                while flush(&node).await {}
+            }
+        });
+    }
+}
+
+/// One job's part of a batch.
+struct Part {
+    id: Name,
+    version: u64,
+    marks: Marks,
+    last: Option<Final>,
+    /// The job's marks are kept apart from its record.
+    chunked: bool,
+}
+
+/// Writes one batch; true if there may be more.
+async fn flush(node: &Rc<Node>) -> bool {
+    let limits = &node.settings.cluster.state;
+    let (txn, parts, term) = {
+        let core = node.core.borrow();
+        let Some(core) = core.as_ref() else {
+            return false;
+        };
+        let due = core.marks_due(limits.txn_ops);
+        if due.is_empty() {
+            return false;
+        }
+        let mut txn = Txn::default();
+        let mut parts = Vec::new();
+        let mut bytes = 0;
+        for id in due {
+            let Some(job) = core.jobs.get(&id) else {
+                continue;
+            };
+            // 64 KiB a transaction; half leaves room for the framing.
+            if txn.changes.len() + 2 > limits.txn_ops || bytes > 32 * 1024 {
+                break;
+            }
+            let chunk_size = node.chunk_tasks();
+            let chunked = job.spec.tasks > chunk_size;
+            let mut part = Part {
+                id: id.clone(),
+                version: job.version,
+                marks: job.done.clone(),
+                last: None,
+                chunked,
+            };
+            let key = records::live(&id);
+            txn = txn.when(&key, job.version);
+            if job.complete() {
+                let last = Final {
+                    state: JobState::Done,
+                    tasks: job.spec.tasks,
+                    done: job.spec.tasks,
+                };
+                part.last = Some(last);
+                txn = txn.delete(&key).put(&records::fin(&id), json!(last));
+                bytes += 200;
+            } else if chunked {
+                part.marks = Marks::default();
+                for chunk in 0..job.spec.tasks.div_ceil(chunk_size) {
+                    let marks = job.done.chunk(chunk, chunk_size);
+                    if marks == job.written.chunk(chunk, chunk_size) {
+                        continue;
+                    }
+                    if txn.changes.len() + 1 > limits.txn_ops || bytes > 32 * 1024 {
+                        break;
+                    }
+                    let done = marks.to_text();
+                    bytes += done.len() + 100;
+                    txn = txn.put(&records::mark(&id, chunk), json!(MarkChunk { done }));
+                    part.marks.merge(&marks);
+                }
+            } else {
+                let record = LiveJob {
+                    spec: (*job.spec).clone(),
+                    at_ms: job.at_ms,
+                    done: job.done.to_text(),
+                };
+                bytes += record.done.len() + 800;
+                txn = txn.put(&key, json!(record));
+            }
+            parts.push(part);
+        }
+        (txn, parts, core.fence.base_term)
+    };
+    let result = node.state.txn(&txn, Lane::Data).await;
+    match result {
+        Ok(version) => {
+            written(node, parts, version, term);
+            true
+        }
+        Err(Failure::Conflict(keys)) => {
+            for key in keys {
+                if let Some(id) = key.strip_prefix(records::LIVE) {
+                    reread(node, id, term).await;
+                }
+            }
+            true
+        }
+        // Not executed, or perhaps later: the versions tell next time.
+        Err(_) => false,
+    }
+}
+
+fn written(node: &Rc<Node>, parts: Vec<Part>, version: u64, term: u64) {
+    let mut core = node.core.borrow_mut();
+    let core = core.as_mut().filter(|c| c.fence.base_term == term);
+    let mut over = Vec::new();
+    if let Some(core) = core {
+        for part in &parts {
+            let record_version = if part.chunked { part.version } else { version };
+            core.marks_written(&part.id, &part.marks, record_version);
+            if part.last.is_some() {
+                tracing::info!(job = %part.id, "done");
+                core.job_over(&part.id);
+            }
+        }
+    }
+    for part in parts {
+        if let Some(last) = part.last {
+            node.finals.borrow_mut().put(&part.id, last);
+            if part.chunked {
+                over.push((part.id, last.tasks));
+            }
+        }
+    }
+    for (id, tasks) in over {
+        sweep_marks(node.clone(), id, tasks);
+    }
+}
+
+/// Deletes the separate marks of a finished job; if that fails they stay,
+/// which costs space alone.
+fn sweep_marks(node: Rc<Node>, id: Name, tasks: u32) {
+    actix_rt::spawn(async move {
+        let chunks = tasks.div_ceil(node.chunk_tasks());
+        for chunk in 0..chunks {
+            let txn = Txn::default().delete(&records::mark(&id, chunk));
+            if node.state.txn(&txn, Lane::Data).await.is_err() {
+                return;
+            }
+        }
+    });
+}
+
+/// Reads a job's record after a conflict.
+async fn reread(node: &Rc<Node>, id: &str, term: u64) {
+    let Ok(entry) = node.state.get(&records::live(id), Lane::Data).await else {
+        return;
+    };
+    let mut core = node.core.borrow_mut();
+    let Some(core) = core.as_mut().filter(|c| c.fence.base_term == term) else {
+        return;
+    };
+    match entry {
+        Some(entry) => {
+            if let Ok(record) = serde_json::from_value::<LiveJob>(entry.value) {
+                let done = Marks::from_text(&record.done, record.spec.tasks);
+                core.job_reread(id, entry.version, &done);
+            }
+        }
+        None => core.job_over(id),
+    }
+}
+
+fn take_entry(node: &Node, term: u64, entry: Entry) {
+    let now = node.now();
+    if let Ok(record) = serde_json::from_value::<LiveJob>(entry.value) {
+        if let Some(core) = node.core.borrow_mut().as_mut() {
+            if core.fence.base_term == term {
+                core.job_added(record, entry.version, Marks::default());
+                if core.dirty {
+                    core.place(now);
+                }
+            }
+        }
+    }
+}
+
+fn ours(node: &Node, term: u64) -> bool {
+    node.core
+        .borrow()
+        .as_ref()
+        .is_some_and(|c| c.fence.base_term == term)
+}
+
+/// Follows the live jobs from `revision` on, as long as this core lasts.
+pub fn follow(node: Rc<Node>, term: u64, mut revision: u64) {
+    actix_rt::spawn(async move {
+        while ours(&node, term) {
+            match node.state.watch(records::LIVE, revision, 20.0).await {
+                Ok(news) => {
+                    revision = news.revision;
+                    for event in news.events {
+                        match event {
+                            Event::Put {
+                                key,
+                                value,
+                                version,
+                            } => take_entry(
+                                &node,
+                                term,
+                                Entry {
+                                    key,
+                                    value,
+                                    version,
+                                },
+                            ),
+                            Event::Delete { key, .. } => {
+                                if let Some(id) = key.strip_prefix(records::LIVE) {
+                                    if let Some(core) = node.core.borrow_mut().as_mut() {
+                                        if core.fence.base_term == term {
+                                            core.job_over(id);
+                                        }
+                                    }
+                                }
+                            }
+                        }
+                    }
+                    super::dispatch::drain(&node);
+                }
+                Err(Failure::Gone) => {
+                    // Too far behind: read all again, and drop what is gone.
+                    if let Ok((entries, at)) = node.state.list(records::LIVE, Lane::Control).await {
+                        revision = at;
+                        let known: Vec<Name> = node
+                            .core
+                            .borrow()
+                            .as_ref()
+                            .map(|c| c.jobs.keys().cloned().collect())
+                            .unwrap_or_default();
+                        for id in known {
+                            let key = records::live(&id);
+                            if !entries.iter().any(|e| e.key == key) {
+                                if let Some(core) = node.core.borrow_mut().as_mut() {
+                                    core.job_over(&id);
+                                }
+                            }
+                        }
+                        for entry in entries {
+                            take_entry(&node, term, entry);
+                        }
+                        super::dispatch::drain(&node);
+                    }
+                }
+                Err(_) => actix_rt::time::sleep(Duration::from_millis(250)).await,
+            }
+        }
+    });
+}
--- /dev/null
+++ b/src/coordination/machine.rs
@@ -0,0 +1,165 @@
+//! A machine of the share, and the attempts that may be on it.
+
+use super::job::{Name, TaskId};
+use crate::protocol::worker::{Cause, Phase};
+use crate::storage::records::MachineInfo;
+use std::collections::BTreeMap;
+
+/// An attempt that is on a machine, or may be.
+#[derive(Debug, Clone)]
+pub struct Active {
+    /// `None` until a report has shown it.
+    pub phase: Option<Phase>,
+    pub cause: Option<Cause>,
+    /// When the start was decided.
+    pub sent: f64,
+    /// When it was first seen running.
+    pub running: Option<f64>,
+    /// A start went out in the answer to this report and may still be executed.
+    pub hello: Option<(u64, u64)>,
+    /// A direct call with the start is under way.
+    pub direct: bool,
+    /// A direct call with the start, under this term, had no answer: it may be
+    /// executed until a higher term or a newer session is seen.
+    pub limbo: Option<(u64, f64)>,
+    /// A start or stop waits to be sent.
+    pub unsent: bool,
+    /// It is to be stopped, with this grace.
+    pub stop: Option<f64>,
+}
+
+impl Active {
+    pub fn new(now: f64) -> Active {
+        Active {
+            phase: None,
+            cause: None,
+            sent: now,
+            running: None,
+            hello: None,
+            direct: false,
+            limbo: None,
+            unsent: true,
+            stop: None,
+        }
+    }
+    /// Whether a copy of its start may still reach the machine.
+    pub fn in_flight(&self) -> bool {
+        self.hello.is_some() || self.direct || self.limbo.is_some()
+    }
+    pub fn exited(&self) -> bool {
+        self.phase == Some(Phase::Exited)
+    }
+}
+
+/// A task bound to a machine's queue.
+#[derive(Debug, Clone)]
+pub struct Bound {
+    pub task: TaskId,
+    pub rank: u8,
+    pub predicted_s: f64,
+    pub since: f64,
+    /// Room is being made for it here.
+    pub reserved: bool,
+}
+
+/// What a machine is good for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Takes tasks.
+    Up,
+    /// Takes no tasks any more and will be returned.
+    Draining,
+    /// Proven empty after silence; this session must not be answered again.
+    Expired,
+}
+
+/// A machine.
+#[derive(Debug)]
+pub struct Machine {
+    pub info: MachineInfo,
+    /// It stands in the share's written record, so tasks may start on it.
+    pub recorded: bool,
+    pub standing: Standing,
+    /// Newest message seen: session and sequence number.
+    pub seen: (u64, u64),
+    /// Highest term the machine is known to have seen.
+    pub token: u64,
+    /// Reported under our term since we took over.
+    pub fenced: bool,
+    /// When it first did: until then a former owner may have answered it.
+    pub fenced_at: f64,
+    /// When a message from it last arrived.
+    pub heard: f64,
+    /// When a report of it was last answered.
+    pub answered: Option<f64>,
+    /// When the cloud will take it away.
+    pub notice_at: Option<f64>,
+    pub active: BTreeMap<(TaskId, u64), Active>,
+    /// Attempts of jobs that we do not know, not exited.
+    pub strangers: u32,
+    pub queue: Vec<Bound>,
+    /// Images it has had, most recently used last.
+    pub images: Vec<(String, f64)>,
+    /// A direct call is under way.
+    pub calling: bool,
+    pub called_at: f64,
+    /// Failures in a row of jobs that are not suspect.
+    pub errors: u32,
+    pub idle_since: f64,
+}
+
+impl Machine {
+    pub fn new(info: MachineInfo, recorded: bool, now: f64) -> Machine {
+        Machine {
+            info,
+            recorded,
+            standing: Standing::Up,
+            seen: (0, 0),
+            token: 0,
+            fenced: false,
+            fenced_at: now,
+            heard: now,
+            answered: None,
+            notice_at: None,
+            active: BTreeMap::new(),
+            strangers: 0,
+            queue: Vec::new(),
+            images: Vec::new(),
+            calling: false,
+            called_at: f64::NEG_INFINITY,
+            errors: 0,
+            idle_since: now,
+        }
+    }
+
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(name, _)| name == image)
+    }
+
+    /// Remembers an image as used last, within the size of the cache.
+    pub fn used_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
+        self.images.retain(|(name, _)| name != image);
+        self.images.push((image.to_string(), gb));
+        while self.images.len() > 1 && self.images.iter().map(|i| i.1).sum::<f64>() > cache_gb {
+            self.images.remove(0);
+        }
+    }
+
+    /// Whether any attempt of the task is known here.
+    pub fn knows(&self, task: &TaskId) -> bool {
+        self.active
+            .range((task.clone(), 0)..=(task.clone(), u64::MAX))
+            .next()
+            .is_some()
+    }
+
+    /// Attempts that hold room.
+    pub fn holding(&self) -> impl Iterator<Item = (&(TaskId, u64), &Active)> {
+        self.active.iter().filter(|(_, a)| !a.exited())
+    }
+}
+
+/// A machine's name as shared key.
+pub fn name(info: &MachineInfo) -> Name {
+    info.id.as_str().into()
+}
--- /dev/null
+++ b/src/coordination/member.rs
@@ -0,0 +1,562 @@
+//! Membership: a lease in the state service shows that a controller is alive;
+//! the share of one that is not is taken over under a fresh term.
+
+use super::core::{Core, Params};
+use super::fence::{remaining, Fence};
+use super::node::Node;
+use crate::protocol::cloud::TypeList;
+use crate::protocol::state::{Entry, Event, Txn};
+use crate::storage::marks::Marks;
+use crate::storage::records::{self, Alive, LiveJob, MachineChunk, MarkChunk, Prior, Share, Term};
+use crate::transport::clients::{Failure, Lane};
+use actix::prelude::*;
+use serde_json::json;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Keeps our lease and watches the others'.
+pub struct Member {
+    pub node: Rc<Node>,
+}
+
+impl Actor for Member {
+    type Context = Context<Self>;
+
+    fn started(&mut self, _: &mut Self::Context) {
+        actix_rt::spawn(keep_lease(self.node.clone()));
+        actix_rt::spawn(watch_area(self.node.clone()));
+        actix_rt::spawn(mind_share(self.node.clone()));
+    }
+}
+
+async fn sleep(s: f64) {
+    actix_rt::time::sleep(Duration::from_secs_f64(s)).await;
+}
+
+/// Life of a controller's lease.
+fn life_s(node: &Node) -> f64 {
+    (node.policy.member_leases * node.settings.cluster.workers.lease_s).clamp(0.5, 600.0)
+}
+
+async fn keep_lease(node: Rc<Node>) {
+    let life = life_s(&node);
+    // Five renewals in a life: three may be lost in a row.
+    let every = life / 5.0;
+    let key = records::alive(&node.settings.host_name);
+    let mut lease = None;
+    let mut written = None;
+    loop {
+        let began = node.now();
+        match lease {
+            None => {
+                // While we had none, the share may have gone.
+                node.doubt.set(true);
+                written = None;
+                match node.state.grant(life).await {
+                    Ok(id) => lease = Some(id),
+                    Err(_) => sleep((every / 4.0).min(0.25)).await,
+                }
+            }
+            Some(id) if written != Some(node.boot.get()) => {
+                let boot = node.boot.get();
+                let txn = Txn::default().put_leased(&key, json!(Alive { boot }), Some(id));
+                match node.state.txn(&txn, Lane::Control).await {
+                    Ok(version) => {
+                        written = Some(boot);
+                        let host = node.settings.host_name.clone();
+                        node.view.borrow_mut().alive.insert(host, (boot, version));
+                        node.contact.set(began);
+                        look_after_share(&node);
+                    }
+                    Err(error) => {
+                        tracing::warn!(%error, "alive key not written");
+                        if error == Failure::NoLease {
+                            lease = None;
+                        }
+                        sleep((every / 4.0).min(0.25)).await;
+                    }
+                }
+            }
+            Some(id) => {
+                match node.state.renew(id).await {
+                    Ok(()) => {
+                        node.contact.set(began);
+                        // While our lease lives nobody can take the share.
+                        if !node.doubt.get() {
+                            node.confirmed.set(began);
+                        }
+                        sleep(every).await;
+                    }
+                    Err(Failure::NoLease) => {
+                        tracing::warn!("our lease ran out");
+                        node.doubt.set(true);
+                        lease = None;
+                    }
+                    Err(_) => sleep((every / 4.0).min(0.25)).await,
+                }
+            }
+        }
+    }
+}
+
+fn take_entry(node: &Node, entry: &Entry) {
+    let mut view = node.view.borrow_mut();
+    let value = &entry.value;
+    if entry.key == records::SHARE {
+        if let Ok(share) = serde_json::from_value::<Share>(value.clone()) {
+            if view.share.as_ref().is_none_or(|(_, v)| entry.version >= *v) {
+                view.share = Some((share, entry.version));
+            }
+        }
+    } else if entry.key == records::TERM {
+        if let Ok(term) = serde_json::from_value::<Term>(value.clone()) {
+            if entry.version >= view.term.1 {
+                view.term = (term.term, entry.version);
+            }
+        }
+    } else if entry.key == records::TYPES {
+        if let Ok(list) = serde_json::from_value::<TypeList>(value.clone()) {
+            view.types = Some(list.types);
+        }
+    } else if let Some(host) = entry.key.strip_prefix(&records::alive("")) {
+        if let Ok(alive) = serde_json::from_value::<Alive>(value.clone()) {
+            view.alive
+                .insert(host.to_string(), (alive.boot, entry.version));
+        }
+    }
+}
+
+/// Reads the area and follows its changes.
+async fn watch_area(node: Rc<Node>) {
+    let wait_s = 20.0;
+    loop {
+        let Ok((entries, mut revision)) = node.state.list(records::AREA, Lane::Control).await
+        else {
+            sleep(0.2).await;
+            continue;
+        };
+        {
+            let mut view = node.view.borrow_mut();
+            view.alive.clear();
+        }
+        for entry in &entries {
+            take_entry(&node, entry);
+        }
+        node.view.borrow_mut().loaded = true;
+        node.contact.set(node.now());
+        look_after_share(&node);
+        loop {
+            match node.state.watch(records::AREA, revision, wait_s).await {
+                Ok(news) => {
+                    revision = news.revision;
+                    for event in news.events {
+                        match event {
+                            Event::Put {
+                                key,
+                                value,
+                                version,
+                            } => take_entry(
+                                &node,
+                                &Entry {
+                                    key,
+                                    value,
+                                    version,
+                                },
+                            ),
+                            Event::Delete { key, version } => {
+                                if let Some(host) = key.strip_prefix(&records::alive("")) {
+                                    let mut view = node.view.borrow_mut();
+                                    if view.alive.get(host).is_some_and(|a| a.1 <= version) {
+                                        view.alive.remove(host);
+                                    }
+                                }
+                            }
+                        }
+                    }
+                    look_after_share(&node);
+                }
+                Err(Failure::Gone) => break,
+                // Changes missed while it is away are still in its history.
+                Err(_) => sleep(0.25).await,
+            }
+        }
+    }
+}
+
+/// Looks after the share when something may have changed.
+fn look_after_share(node: &Rc<Node>) {
+    settle_ownership(node);
+    if claimable(node) && !node.claiming.replace(true) {
+        let node = node.clone();
+        actix_rt::spawn(async move {
+            claim(&node).await;
+            node.claiming.set(false);
+        });
+    }
+}
+
+/// Steps down when the record says that the share is not ours.
+fn settle_ownership(node: &Node) {
+    let mine = {
+        let view = node.view.borrow();
+        view.share
+            .as_ref()
+            .map(|(s, _)| s.owner == node.settings.host_name && s.boot == node.boot.get())
+    };
+    if mine == Some(false) && node.core.borrow().is_some() {
+        tracing::warn!("share lost: stepping down");
+        step_down(node);
+    }
+}
+
+/// Stops acting for the share; the new incarnation tells all that look.
+fn step_down(node: &Node) {
+    *node.core.borrow_mut() = None;
+    node.confirmed.set(f64::NEG_INFINITY);
+    node.boot.set(super::node::draw_boot());
+}
+
+/// Whether the share may be taken: nobody has it, its owner's lease is gone,
+/// or it is our own from before a restart.
+fn claimable(node: &Node) -> bool {
+    let view = node.view.borrow();
+    if !view.loaded || !view.alive.contains_key(&node.settings.host_name) {
+        return false;
+    }
+    match &view.share {
+        None => true,
+        Some((share, _)) if share.owner == node.settings.host_name => {
+            share.boot != node.boot.get() || node.core.borrow().is_none()
+        }
+        Some((share, _)) => !view.alive.contains_key(&share.owner),
+    }
+}
+
+/// Takes the share in one conditional transaction under a fresh term, then
+/// reads what belongs to it.
+async fn claim(node: &Rc<Node>) {
+    let me = node.settings.host_name.clone();
+    let (txn, share) = {
+        let view = node.view.borrow();
+        let Some(own) = view.alive.get(&me).filter(|a| a.0 == node.boot.get()) else {
+            return;
+        };
+        let (term, term_version) = view.term;
+        let now_ms = node.wall_ms();
+        let bound_ms = node.settings.cluster.time_bound_ms.ceil() as u64;
+        let mut txn = Txn::default()
+            .when(&records::alive(&me), own.1)
+            .when(records::TERM, term_version);
+        let mut prior: Vec<Prior> = Vec::new();
+        match &view.share {
+            None => txn = txn.when(records::SHARE, 0),
+            Some((old, version)) => {
+                txn = txn.when(records::SHARE, *version);
+                let alive = |host: &str| {
+                    if host == me {
+                        Some(node.boot.get())
+                    } else {
+                        view.alive.get(host).map(|a| a.0)
+                    }
+                };
+                prior = remaining(&old.prior, alive, now_ms, bound_ms)
+                    .into_iter()
+                    .cloned()
+                    .collect();
+                if old.owner != me {
+                    // Taken from someone who may not know yet.
+                    txn = txn.when(&records::alive(&old.owner), 0);
+                    prior.push(Prior {
+                        host: old.owner.clone(),
+                        boot: old.boot,
+                        until_ms: now_ms + (node.quiet_s() * 1002.0) as u64 + bound_ms,
+                    });
+                }
+            }
+        }
+        let share = Share {
+            owner: me.clone(),
+            boot: node.boot.get(),
+            term: term + 1,
+            teams: node
+                .settings
+                .cluster
+                .teams
+                .iter()
+                .map(|t| t.name.clone())
+                .collect(),
+            prior,
+        };
+        let txn = txn
+            .put(records::SHARE, json!(share))
+            .put(records::TERM, json!({"term": term + 1}));
+        (txn, share)
+    };
+    let began = node.now();
+    match node.state.txn(&txn, Lane::Control).await {
+        Ok(version) => {
+            tracing::info!(term = share.term, "share taken");
+            {
+                let mut view = node.view.borrow_mut();
+                view.term = (share.term, version);
+                view.share = Some((share.clone(), version));
+            }
+            *node.core.borrow_mut() = None;
+            node.doubt.set(false);
+            loop {
+                match load(node, &share).await {
+                    Ok(()) => break,
+                    Err(error) => tracing::warn!(%error, "share not read yet"),
+                }
+                settle_share_alive(node, &share);
+                if node
+                    .view
+                    .borrow()
+                    .share
+                    .as_ref()
+                    .is_none_or(|(s, _)| s.term != share.term)
+                {
+                    return;
+                }
+                sleep(0.2).await;
+            }
+            node.confirmed.set(began);
+            super::dispatch::drain(node);
+        }
+        Err(Failure::Conflict(_)) => reread(node).await,
+        Err(error) => {
+            tracing::info!(%error, "share not taken");
+            sleep(0.1).await;
+            reread(node).await;
+        }
+    }
+}
+
+/// While loading, another controller may have taken over from us: the doubt
+/// flag of the lease loop says so, and the record is read again.
+fn settle_share_alive(node: &Node, share: &Share) {
+    if node.doubt.get() {
+        tracing::warn!(term = share.term, "lease lost while reading the share");
+        node.view.borrow_mut().share = None;
+    }
+}
+
+/// Reads share and term afresh.
+async fn reread(node: &Node) {
+    for key in [records::SHARE, records::TERM] {
+        if let Ok(Some(entry)) = node.state.get(key, Lane::Control).await {
+            take_entry(node, &entry);
+        }
+    }
+    let me = &node.settings.host_name;
+    let owner = node
+        .view
+        .borrow()
+        .share
+        .as_ref()
+        .map(|(s, _)| s.owner.clone());
+    // The owner's alive key too: a watch may be behind.
+    if let Some(owner) = owner.filter(|o| o != me) {
+        match node.state.get(&records::alive(&owner), Lane::Control).await {
+            Ok(Some(entry)) => take_entry(node, &entry),
+            Ok(None) => {
+                node.view.borrow_mut().alive.remove(&owner);
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+/// Builds the core from the records of the share.
+async fn load(node: &Rc<Node>, share: &Share) -> Result<(), Failure> {
+    let quiet_since = share.prior.is_empty().then(|| node.now());
+    let fence = Fence::new(share.term, quiet_since);
+    let params = Params::new(&node.settings, &node.policy);
+    let mut core = Core::new(params, share.term, fence, node.boot.get() ^ share.term);
+    if let Some(types) = &node.view.borrow().types {
+        core.set_types(types);
+    }
+    let (chunks, _) = node.state.list(records::MACHINES, Lane::Control).await?;
+    let now = node.now();
+    for entry in chunks {
+        if let Ok(chunk) = serde_json::from_value::<MachineChunk>(entry.value) {
+            for info in chunk.machines {
+                core.inherit(info, now);
+            }
+        }
+    }
+    let (jobs, revision) = node.state.list(records::LIVE, Lane::Control).await?;
+    for entry in jobs {
+        let Ok(record) = serde_json::from_value::<LiveJob>(entry.value) else {
+            tracing::error!(key = %entry.key, "unreadable job record");
+            continue;
+        };
+        let mut extra = Marks::default();
+        if record.spec.tasks > node.chunk_tasks() {
+            let prefix = records::marks(&record.spec.id);
+            for entry in node.state.list(&prefix, Lane::Control).await?.0 {
+                if let Ok(chunk) = serde_json::from_value::<MarkChunk>(entry.value) {
+                    extra.merge(&Marks::from_text(&chunk.done, record.spec.tasks));
+                }
+            }
+        }
+        core.job_added(record, entry.version, extra);
+    }
+    tracing::info!(
+        term = share.term,
+        machines = core.machines.len(),
+        jobs = core.jobs.len(),
+        "share read"
+    );
+    core.probes(now + 1e9);
+    *node.core.borrow_mut() = Some(core);
+    super::ledger::follow(node.clone(), share.term, revision);
+    Ok(())
+}
+
+/// Slow loop: takes what became free, checks doubts, writes the machine
+/// record, raises the term, learns when former owners are quiet.
+async fn mind_share(node: Rc<Node>) {
+    // As often as the lease is renewed: takeovers are decided by its end.
+    let every = (life_s(&node) / 10.0).clamp(0.1, 0.5);
+    loop {
+        sleep(every).await;
+        if node.doubt.get() && node.core.borrow().is_some() {
+            let began = node.now();
+            let alive = node
+                .view
+                .borrow()
+                .alive
+                .get(&node.settings.host_name)
+                .is_some_and(|a| a.0 == node.boot.get());
+            if alive {
+                if let Ok(Some(entry)) = node.state.get(records::SHARE, Lane::Control).await {
+                    take_entry(&node, &entry);
+                    settle_ownership(&node);
+                    node.doubt.set(false);
+                    if node.core.borrow().is_some() {
+                        node.confirmed.set(began);
+                    }
+                }
+            }
+        }
+        look_after_share(&node);
+        learn_quiet(&node);
+        write_machines(&node).await;
+        raise_term(&node).await;
+    }
+}
+
+/// Notices that no former owner can answer any more.
+fn learn_quiet(node: &Node) {
+    let bound_ms = node.settings.cluster.time_bound_ms.ceil() as u64;
+    let now_ms = node.wall_ms();
+    let view = node.view.borrow();
+    let Some((share, _)) = &view.share else {
+        return;
+    };
+    let mut core = node.core.borrow_mut();
+    let Some(core) = core.as_mut() else {
+        return;
+    };
+    if core.fence.quiet_since.is_none() {
+        let left = remaining(
+            &share.prior,
+            |host| view.alive.get(host).map(|a| a.0),
+            now_ms,
+            bound_ms,
+        );
+        if left.is_empty() {
+            tracing::info!(term = core.term, "no former owner is left");
+            core.fence.quiet_since = Some(node.now());
+        }
+    }
+}
+
+/// Writes the list of machines, conditional on the share being ours.
+async fn write_machines(node: &Node) {
+    // 200 bytes a machine with room to spare.
+    let per_chunk = (node.settings.cluster.state.value_kb * 1024.0 / 256.0).max(1.0) as usize;
+    let (version, infos) = {
+        let view = node.view.borrow();
+        let mut core = node.core.borrow_mut();
+        let (Some((_, version)), Some(core)) = (&view.share, core.as_mut()) else {
+            return;
+        };
+        if !core.record_dirty {
+            return;
+        }
+        core.record_dirty = false;
+        (*version, core.wanted_record())
+    };
+    let mut txn = Txn::default().when(records::SHARE, version);
+    let chunks: Vec<_> = infos.chunks(per_chunk).collect();
+    for i in 0..node.settings.cluster.state.txn_ops.min(chunks.len() + 2) {
+        let key = records::machines(i);
+        txn = match chunks.get(i) {
+            Some(chunk) => txn.put(
+                &key,
+                json!(MachineChunk {
+                    machines: chunk.to_vec()
+                }),
+            ),
+            None => txn.delete(&key),
+        };
+    }
+    let result = node.state.txn(&txn, Lane::Control).await;
+    let mut core = node.core.borrow_mut();
+    let Some(core) = core.as_mut() else {
+        return;
+    };
+    match result {
+        Ok(_) => core.record_written(&infos),
+        Err(error) => {
+            tracing::debug!(%error, "machine record not written");
+            core.record_dirty = true;
+            if matches!(error, Failure::Conflict(_)) {
+                node.doubt.set(true);
+            }
+        }
+    }
+}
+
+/// Writes a higher term when starts in limbo must be ruled out.
+async fn raise_term(node: &Node) {
+    let (txn, share) = {
+        let view = node.view.borrow();
+        let core = node.core.borrow();
+        let (Some((share, version)), Some(core)) = (&view.share, core.as_ref()) else {
+            return;
+        };
+        if !core.wants_new_term(node.now()) {
+            return;
+        }
+        let mut share = share.clone();
+        share.term = view.term.0 + 1;
+        let txn = Txn::default()
+            .when(records::SHARE, *version)
+            .when(records::TERM, view.term.1)
+            .put(records::SHARE, json!(share))
+            .put(records::TERM, json!({"term": share.term}));
+        (txn, share)
+    };
+    match node.state.txn(&txn, Lane::Control).await {
+        Ok(version) => {
+            tracing::info!(
+                term = share.term,
+                "term raised: lost commands are ruled out"
+            );
+            let mut view = node.view.borrow_mut();
+            view.term = (share.term, version);
+            if let Some(core) = node.core.borrow_mut().as_mut() {
+                core.raise_term(share.term);
+            }
+            view.share = Some((share, version));
+        }
+        Err(Failure::Conflict(_)) => {
+            reread(node).await;
+            node.doubt.set(true);
+        }
+        Err(_) => {}
+    }
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,18 @@
+//! Decides: membership and shares, worker sessions, placement, quota,
+//! preemption and the fleet. The `Core` and all it uses is pure code with
+//! passed-in time and a seeded generator; the actors around it do the talking.
+
+pub mod core;
+pub mod dispatch;
+pub mod fence;
+pub mod fleet;
+pub mod fleet_plan;
+pub mod job;
+pub mod ledger;
+pub mod machine;
+pub mod member;
+pub mod node;
+pub mod place;
+pub mod preempt;
+pub mod quota;
+pub mod sessions;
--- /dev/null
+++ b/src/coordination/node.rs
@@ -0,0 +1,202 @@
+//! What all parts of one controller share. Everything runs on one thread, so
+//! plain cells suffice; no borrow is held across an await.
+
+use super::core::Core;
+use crate::protocol::cloud::MachineType;
+use crate::protocol::job::JobSpec;
+use crate::protocol::policy::Policy;
+use crate::protocol::settings::Settings;
+use crate::storage::records::{self, Final, LiveJob, Share};
+use crate::transport::clients::{
+    CloudClient, Failure, Lane, MeshClient, StateClient, WorkerClient,
+};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// What the watched area of the state service says.
+#[derive(Default, Debug)]
+pub struct View {
+    /// It was read at least once.
+    pub loaded: bool,
+    pub share: Option<(Share, u64)>,
+    pub term: (u64, u64),
+    pub alive: HashMap<String, (u64, u64)>,
+    pub types: Option<Vec<MachineType>>,
+}
+
+/// Final states, which never change, for as many jobs as fit.
+#[derive(Default)]
+pub struct Finals {
+    known: HashMap<String, Final>,
+    order: VecDeque<String>,
+}
+
+impl Finals {
+    const MOST: usize = 4096;
+
+    pub fn get(&self, id: &str) -> Option<Final> {
+        self.known.get(id).copied()
+    }
+    pub fn put(&mut self, id: &str, state: Final) {
+        if self.known.insert(id.to_string(), state).is_none() {
+            self.order.push_back(id.to_string());
+            if self.order.len() > Self::MOST {
+                if let Some(old) = self.order.pop_front() {
+                    self.known.remove(&old);
+                }
+            }
+        }
+    }
+}
+
+/// A job as the state service has it.
+#[derive(Debug)]
+pub enum Found {
+    Live(Box<LiveJob>, u64),
+    Final(Final),
+    Nothing,
+}
+
+/// A number for an incarnation; 52 bits survive any JSON reader.
+pub fn draw_boot() -> u64 {
+    use rand::{RngCore, SeedableRng};
+    rand::rngs::SmallRng::from_os_rng().next_u64() >> 12
+}
+
+/// One controller.
+pub struct Node {
+    pub settings: Settings,
+    pub policy: Policy,
+    /// Differs for each start of the process, and is drawn anew when it steps
+    /// down: who sees another one knows that the former owner is silent.
+    pub boot: Cell<u64>,
+    /// A takeover is under way.
+    pub claiming: Cell<bool>,
+    start: Instant,
+    pub state: StateClient,
+    pub cloud: CloudClient,
+    pub workers: WorkerClient,
+    pub mesh: MeshClient,
+    pub core: RefCell<Option<Core>>,
+    pub view: RefCell<View>,
+    pub finals: RefCell<Finals>,
+    /// When the last successful check that the share is ours began.
+    pub confirmed: Cell<f64>,
+    /// When the state service last answered.
+    pub contact: Cell<f64>,
+    /// The share record needs a fresh look.
+    pub doubt: Cell<bool>,
+}
+
+impl Node {
+    pub fn new(settings: Settings, policy: Policy) -> Rc<Node> {
+        Rc::new(Node {
+            state: StateClient::new(&settings),
+            cloud: CloudClient::new(&settings),
+            workers: WorkerClient::new(&settings),
+            mesh: MeshClient::default(),
+            settings,
+            policy,
+            boot: Cell::new(draw_boot()),
+            claiming: Cell::new(false),
+            start: Instant::now(),
+            core: RefCell::new(None),
+            view: RefCell::default(),
+            finals: RefCell::default(),
+            confirmed: Cell::new(f64::NEG_INFINITY),
+            contact: Cell::new(f64::NEG_INFINITY),
+            doubt: Cell::new(false),
+        })
+    }
+
+    /// Steady time in seconds.
+    pub fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64()
+    }
+
+    /// Time of day in milliseconds.
+    pub fn wall_ms(&self) -> u64 {
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |d| d.as_millis() as u64)
+    }
+
+    /// For how long an owner may go on answering without contact to the state
+    /// service. While that is away for all, nothing can be taken over, so this
+    /// is long; after a takeover it bounds how long the former owner lasts.
+    pub fn quiet_s(&self) -> f64 {
+        self.policy.quiet_leases * self.settings.cluster.workers.lease_s
+    }
+
+    /// Whether we own the share and may answer workers.
+    pub fn entitled(&self) -> bool {
+        self.core.borrow().is_some() && self.now() - self.confirmed.get() < self.quiet_s()
+    }
+
+    /// The owner's name, if it is known and not us.
+    pub fn other_owner(&self) -> Option<String> {
+        let view = self.view.borrow();
+        let (share, _) = view.share.as_ref()?;
+        let alive = view.alive.contains_key(&share.owner);
+        (alive && share.owner != self.settings.host_name).then(|| share.owner.clone())
+    }
+
+    /// A peer's address.
+    pub fn peer(&self, name: &str) -> Option<SocketAddr> {
+        let peers = &self.settings.peers;
+        peers.iter().find(|p| p.name == name).map(|p| p.addr)
+    }
+
+    /// Most tasks whose done marks fit into the job's record: a range takes up
+    /// to 14 bytes and covers two tasks at worst; half the value is the
+    /// description's.
+    pub fn chunk_tasks(&self) -> u32 {
+        (self.settings.cluster.state.value_kb * 1024.0 / 16.0).max(64.0) as u32
+    }
+
+    /// Reads a job afresh. A job moves from live to final and never back, so
+    /// reading in this order cannot miss it.
+    pub async fn find(&self, id: &str) -> Result<Found, Failure> {
+        if let Some(state) = self.finals.borrow().get(id) {
+            return Ok(Found::Final(state));
+        }
+        if let Some(entry) = self.state.get(&records::live(id), Lane::Data).await? {
+            let record = serde_json::from_value(entry.value).map_err(|_| Failure::Unknown)?;
+            return Ok(Found::Live(Box::new(record), entry.version));
+        }
+        match self.state.get(&records::fin(id), Lane::Data).await? {
+            Some(entry) => {
+                let state: Final =
+                    serde_json::from_value(entry.value).map_err(|_| Failure::Unknown)?;
+                self.finals.borrow_mut().put(id, state);
+                Ok(Found::Final(state))
+            }
+            None => Ok(Found::Nothing),
+        }
+    }
+
+    /// Whether the job can ever run: an error for the user, or `None` while we
+    /// cannot tell.
+    pub fn judge(&self, spec: &JobSpec) -> Option<Result<(), String>> {
+        let Some(team) = self.settings.team(&spec.team) else {
+            return Some(Err(format!("unknown owner {}", spec.team)));
+        };
+        let tasks = match spec.shape {
+            crate::protocol::job::Shape::Sweep => 1.0,
+            crate::protocol::job::Shape::Service => f64::from(spec.tasks),
+        };
+        if !super::quota::within_limit(Some(team), (0.0, 0.0), spec, tasks) {
+            return Some(Err("more than the owner's limit".into()));
+        }
+        let view = self.view.borrow();
+        let types = view.types.as_ref()?;
+        if types.iter().any(|t| records::fits_type(spec, t)) {
+            Some(Ok(()))
+        } else {
+            Some(Err("a task fits no allowed machine type".into()))
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/sessions.rs
@@ -0,0 +1,546 @@
+//! Worker sessions: what reports say is on machines, what commands they get,
+//! and when silence proves a machine empty.
+
+use super::core::{with_margin, Core};
+use super::job::{Name, TaskId};
+use super::machine::{Active, Machine, Standing};
+use crate::protocol::worker::{Cause, Command, Direct, Phase, Reply, Report};
+use crate::storage::records::MachineInfo;
+use std::collections::BTreeSet;
+
+/// How a message came to us.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Via {
+    /// A report of the worker's own, which our answer keeps alive.
+    Hello,
+    /// The answer to a direct call.
+    Direct,
+}
+
+/// What to answer a worker.
+#[derive(Debug)]
+pub enum Answer {
+    Orders(Reply),
+    /// We must not answer this session.
+    Refuse,
+    /// The worker has seen a term above ours: we are not the owner any more.
+    Superseded,
+}
+
+/// What came of a direct call, as far as the core cares.
+#[derive(Debug)]
+pub enum CallResult {
+    Executed(Report),
+    Rejected(Report),
+    NotSent,
+    Unknown,
+}
+
+fn info_of(report: &Report) -> MachineInfo {
+    MachineInfo {
+        id: report.machine.clone(),
+        addr: report.addr.clone(),
+        kind: report.kind.clone(),
+        zone: report.zone.clone(),
+        spot: report.spot,
+    }
+}
+
+impl Core {
+    /// Takes in a report and says what to answer.
+    pub fn hello(&mut self, report: &Report, now: f64) -> Answer {
+        if report.token > self.term {
+            return Answer::Superseded;
+        }
+        let name: Name = report.machine.as_str().into();
+        if !self.machines.contains_key(&name) {
+            // Not in our record, so nothing can have been started on it. It
+            // becomes usable once the record with it is written.
+            self.machines
+                .insert(name.clone(), Machine::new(info_of(report), false, now));
+            self.record_dirty = true;
+        }
+        let Some(m) = self.machines.get_mut(&name) else {
+            return Answer::Refuse;
+        };
+        let order = (report.session, report.seq);
+        if m.standing == Standing::Expired {
+            if report.session <= m.seen.0 {
+                // Answering would renew a lease that was declared over.
+                return Answer::Refuse;
+            }
+            m.standing = Standing::Up;
+            m.recorded = false;
+            m.errors = 0;
+            self.record_dirty = true;
+        }
+        let stale = order <= m.seen;
+        if !stale {
+            self.take_in(&name, report, Via::Hello, now);
+        }
+        let mut commands = Vec::new();
+        if !stale {
+            if self.dirty {
+                self.place(now);
+            }
+            commands = self.orders(&name, order, now);
+        }
+        if let Some(m) = self.machines.get_mut(&name) {
+            m.answered = Some(now);
+        }
+        Answer::Orders(Reply {
+            token: self.term,
+            commands,
+        })
+    }
+
+    /// Takes in what came of a direct call with these starts.
+    pub fn called(&mut self, name: &Name, call: &Direct, result: CallResult, now: f64) {
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        m.calling = false;
+        let unknown = matches!(result, CallResult::Unknown);
+        for command in &call.commands {
+            let (Command::Start { task, attempt }
+            | Command::Stop { task, attempt, .. }
+            | Command::Forget { task, attempt }) = command;
+            let Some(task) = TaskId::parse(task) else {
+                continue;
+            };
+            if let Some(active) = m.active.get_mut(&(task, *attempt)) {
+                if matches!(command, Command::Start { .. }) {
+                    active.direct = false;
+                    // A newer session or term seen meanwhile rules it out.
+                    if unknown && m.seen.0 <= call.session && m.token <= call.token {
+                        active.limbo = Some((call.token, now));
+                    }
+                }
+                // What was not executed goes with the next report's answer.
+            }
+        }
+        match result {
+            CallResult::Executed(report) | CallResult::Rejected(report) => {
+                if report.machine == **name && (report.session, report.seq) > m.seen {
+                    if m.standing == Standing::Expired && report.session > m.seen.0 {
+                        // It lives on in a new session; its own report readmits it.
+                        return;
+                    }
+                    self.take_in(name, &report, Via::Direct, now);
+                }
+            }
+            CallResult::NotSent | CallResult::Unknown => {}
+        }
+        self.settle(name);
+    }
+
+    /// Reconciles a newer message with what we thought.
+    fn take_in(&mut self, name: &Name, report: &Report, via: Via, now: f64) {
+        let base_term = self.fence.base_term;
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        m.heard = now;
+        let newer_session = report.session > m.seen.0;
+        let first = m.seen == (0, 0);
+        m.seen = (report.session, report.seq);
+        m.token = m.token.max(report.token);
+        if report.token >= base_term && !m.fenced {
+            m.fenced = true;
+            m.fenced_at = now;
+            self.dirty = true;
+        }
+        if m.info.addr != report.addr {
+            m.info.addr = report.addr.clone();
+            self.record_dirty = true;
+        }
+        m.notice_at = report.notice_s.map(|s| now + s);
+        if newer_session && !first {
+            // All tasks of the old session were killed, and commands to it
+            // are dropped.
+            tracing::info!(machine = %name, session = report.session, "new session");
+            self.clear_machine(name);
+        }
+        let mut shown: BTreeSet<(TaskId, u64)> = BTreeSet::new();
+        let mut strangers = 0;
+        for entry in &report.tasks {
+            let Some(task) = TaskId::parse(&entry.task) else {
+                continue;
+            };
+            let key = (task, entry.attempt);
+            let known_job = self
+                .jobs
+                .get(&key.0.job)
+                .is_some_and(|j| key.0.index < j.spec.tasks);
+            if !known_job && entry.phase != Phase::Exited {
+                strangers += 1;
+            }
+            self.take_entry(name, &key, entry.phase, entry.cause, known_job, now);
+            shown.insert(key);
+        }
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        m.strangers = strangers;
+        // Answers to earlier reports were executed or dropped before this one
+        // was sent; answers to direct calls say nothing about them.
+        let token = m.token;
+        let mut gone = Vec::new();
+        for (key, active) in m.active.iter_mut() {
+            if via == Via::Hello {
+                active.hello = None;
+            }
+            if active.limbo.is_some_and(|(term, _)| term < token) {
+                active.limbo = None;
+            }
+            if shown.contains(key) {
+                continue;
+            }
+            let was_shown = active.phase.is_some();
+            let unwanted = active.stop.is_some() || !m.recorded;
+            if was_shown && !active.in_flight() || unwanted && !active.in_flight() {
+                gone.push(key.clone());
+            }
+        }
+        for key in gone {
+            self.remove_attempt(name, &key);
+        }
+        if self.machines.get(name).is_some_and(|m| m.active.is_empty()) {
+            // keep idle_since from when it became idle
+        } else if let Some(m) = self.machines.get_mut(name) {
+            m.idle_since = now;
+        }
+    }
+
+    fn remove_attempt(&mut self, name: &Name, key: &(TaskId, u64)) {
+        if let Some(m) = self.machines.get_mut(name) {
+            m.active.remove(key);
+        }
+        self.off(key);
+        self.drop_finished(&key.0.job);
+    }
+
+    /// Removes stopped attempts that were never there once no copy is in flight.
+    fn settle(&mut self, name: &Name) {
+        let Some(m) = self.machines.get(name) else {
+            return;
+        };
+        let gone: Vec<_> = m
+            .active
+            .iter()
+            .filter(|(_, a)| a.phase.is_none() && a.stop.is_some() && !a.in_flight())
+            .map(|(k, _)| k.clone())
+            .collect();
+        for key in gone {
+            self.remove_attempt(name, &key);
+        }
+    }
+
+    /// One task of a report.
+    fn take_entry(
+        &mut self,
+        name: &Name,
+        key: &(TaskId, u64),
+        phase: Phase,
+        cause: Option<Cause>,
+        known_job: bool,
+        now: f64,
+    ) {
+        let Some(m) = self.machines.get_mut(name) else {
+            return;
+        };
+        let fresh = !m.active.contains_key(key);
+        let active = m.active.entry(key.clone()).or_insert_with(|| {
+            let mut adopted = Active::new(now);
+            adopted.unsent = false;
+            adopted
+        });
+        let was_exited = active.exited();
+        active.phase = Some(phase);
+        if phase == Phase::Running && active.running.is_none() {
+            active.running = Some(now);
+        }
+        let started = active.running;
+        if !known_job {
+            // Its job is over, or was never accepted: it must go.
+            if phase != Phase::Exited && active.stop.is_none() {
+                active.stop = Some(0.0);
+                active.unsent = true;
+                self.outbox.insert(name.clone());
+            }
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&key.0.job) else {
+            return;
+        };
+        let index = key.0.index;
+        if phase != Phase::Exited {
+            let elsewhere = job.on.get(&index).is_some_and(|(_, a)| *a != key.1);
+            if fresh && !elsewhere {
+                // A former owner's task: adopted.
+                job.on.insert(index, (name.clone(), key.1));
+                if !job.done.contains(index) && !job.over {
+                    self.unbind(&key.0);
+                }
+            }
+            let Some(job) = self.jobs.get(&key.0.job) else {
+                return;
+            };
+            if elsewhere || job.over || job.done.contains(index) {
+                self.stop(name, key, 0.0);
+            }
+            let Some(job) = self.jobs.get(&key.0.job) else {
+                return;
+            };
+            let (image, gb) = (job.spec.image.clone(), job.spec.image_gb);
+            if let Some(m) = self.machines.get_mut(name) {
+                let cache = self
+                    .types
+                    .get(&m.info.kind)
+                    .map_or(f64::MAX, |t| t.cache_gb);
+                if fresh || phase == Phase::Running && started == Some(now) {
+                    m.used_image(&image, gb, cache);
+                }
+            }
+            return;
+        }
+        if was_exited {
+            return;
+        }
+        active.cause = cause;
+        let class = job.spec.class.clone();
+        match cause {
+            Some(Cause::Done) => {
+                job.done.insert(index);
+                self.unwritten.insert(key.0.job.clone());
+                self.unbind(&key.0);
+                if let Some(m) = self.machines.get_mut(name) {
+                    m.errors = 0;
+                }
+                if let Some(at) = started {
+                    self.ran(&class, now - at);
+                }
+            }
+            Some(Cause::Error) => {
+                job.failed_on.insert(name.clone());
+                let tries = job.failed_on.len() as f64;
+                // A bad job is tried ever more rarely, a good one at once.
+                if job.suspect() {
+                    job.not_before = now + self.params.report_s * tries.powi(2).min(100.0);
+                    tracing::warn!(job = %key.0.job, machine = %name, "fails everywhere");
+                } else if let Some(m) = self.machines.get_mut(name) {
+                    m.errors += 1;
+                    tracing::info!(job = %key.0.job, task = index, machine = %name, "task failed");
+                }
+            }
+            Some(Cause::NoRoom | Cause::Busy | Cause::Unknown) => {
+                tracing::info!(task = %key.0.wire(), machine = %name, cause = ?cause, "start refused");
+                job.not_before = now + self.params.report_s / 2.0;
+            }
+            _ => {}
+        }
+        self.off(key);
+    }
+
+    /// Takes a task out of whatever queue it is bound to.
+    fn unbind(&mut self, task: &TaskId) {
+        let mut found = 0;
+        for m in self.machines.values_mut() {
+            let before = m.queue.len();
+            m.queue.retain(|b| b.task != *task);
+            found += before - m.queue.len();
+        }
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.bound = job.bound.saturating_sub(found as u32);
+        }
+    }
+
+    /// Whether an exited attempt can be forgotten by its worker: what it says
+    /// is in the books, and no copy of its start may still come.
+    fn forgettable(&self, key: &(TaskId, u64), active: &Active) -> bool {
+        if active.in_flight() {
+            return false;
+        }
+        match self.jobs.get(&key.0.job) {
+            Some(job) if active.cause == Some(Cause::Done) => {
+                job.over || job.written.contains(key.0.index)
+            }
+            _ => true,
+        }
+    }
+
+    /// Commands for the answer to this report.
+    fn orders(&mut self, name: &Name, order: (u64, u64), now: f64) -> Vec<Command> {
+        let Some(m) = self.machines.get(name) else {
+            return Vec::new();
+        };
+        let mut forget = Vec::new();
+        let mut stops = Vec::new();
+        let mut starts = Vec::new();
+        for (key, active) in &m.active {
+            let (task, attempt) = (key.0.wire(), key.1);
+            if active.exited() {
+                if self.forgettable(key, active) {
+                    forget.push(Command::Forget { task, attempt });
+                }
+            } else if let Some(grace_s) = active.stop {
+                stops.push(Command::Stop {
+                    task,
+                    attempt,
+                    grace_s,
+                });
+            } else if active.phase.is_none() && !active.direct && m.recorded {
+                starts.push((key.clone(), Command::Start { task, attempt }));
+            }
+        }
+        let Some(m) = self.machines.get_mut(name) else {
+            return Vec::new();
+        };
+        for active in m.active.values_mut() {
+            if !active.direct {
+                active.unsent = false;
+            }
+        }
+        let mut commands = forget;
+        commands.append(&mut stops);
+        for (key, command) in starts {
+            if let Some(active) = m.active.get_mut(&key) {
+                active.hello = Some(order);
+                active.sent = now;
+            }
+            commands.push(command);
+        }
+        self.outbox.remove(name);
+        commands
+    }
+
+    /// A direct call for the machine, if one is due.
+    pub fn direct_call(&mut self, name: &Name, now: f64) -> Option<(String, Direct)> {
+        let term = self.term;
+        let m = self.machines.get_mut(name)?;
+        if m.calling || m.standing == Standing::Expired {
+            return None;
+        }
+        let probe = m.recorded && !m.fenced;
+        let mut commands = Vec::new();
+        for (key, active) in m.active.iter_mut() {
+            if !active.unsent || active.exited() {
+                continue;
+            }
+            active.unsent = false;
+            let (task, attempt) = (key.0.wire(), key.1);
+            if let Some(grace_s) = active.stop {
+                commands.push(Command::Stop {
+                    task,
+                    attempt,
+                    grace_s,
+                });
+            } else if active.phase.is_none() {
+                active.direct = true;
+                commands.push(Command::Start { task, attempt });
+            }
+        }
+        if commands.is_empty() && !probe {
+            return None;
+        }
+        m.calling = true;
+        m.called_at = now;
+        let call = Direct {
+            token: term,
+            session: m.seen.0,
+            commands,
+        };
+        Some((m.info.addr.clone(), call))
+    }
+
+    /// Machines to ask for a report under our term, so that placing can begin.
+    pub fn probes(&mut self, now: f64) {
+        let every = self.params.report_s.min(1.0);
+        for (name, m) in &self.machines {
+            if m.recorded && !m.fenced && !m.calling && now - m.called_at >= every {
+                self.outbox.insert(name.clone());
+            }
+        }
+    }
+
+    /// Time passes: silent machines are proven empty, notices handled.
+    pub fn tick(&mut self, now: f64) {
+        let lease = with_margin(self.params.lease_s);
+        let mut expired = Vec::new();
+        for (name, m) in &self.machines {
+            if m.standing == Standing::Expired {
+                continue;
+            }
+            // Ours alone counts once the machine has seen our term: from then
+            // on it drops the answers of all earlier owners.
+            let own = m.answered.map(|t| t + lease);
+            let from = if m.fenced {
+                let fenced = m.fenced_at + lease;
+                Some(own.map_or(fenced, |o| o.max(fenced)))
+            } else {
+                self.fence
+                    .empty_from(lease)
+                    .map(|t| own.map_or(t, |o| t.max(o)))
+            };
+            if from.is_some_and(|t| now > t) {
+                expired.push(name.clone());
+            }
+        }
+        for name in expired {
+            tracing::warn!(machine = %name, term = self.term, "silent for a lease: proven empty");
+            self.clear_machine(&name);
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.standing = Standing::Expired;
+                m.recorded = false;
+            }
+            self.outbox.remove(&name);
+            self.record_dirty = true;
+            self.dirty = true;
+        }
+        self.heed_notices(now);
+        self.cordon(now);
+    }
+
+    /// Spot notice: stop what can save, let the short finish.
+    fn heed_notices(&mut self, now: f64) {
+        let mut stops = Vec::new();
+        for (name, m) in &self.machines {
+            let Some(at) = m.notice_at else {
+                continue;
+            };
+            for (key, active) in m.holding() {
+                let Some(job) = self.jobs.get(&key.0.job) else {
+                    continue;
+                };
+                let ran = active.running.map_or(0.0, |t| now - t);
+                let left_s = (self.predict(job) - ran).max(0.0);
+                let room = at - now;
+                let saves = job.spec.checkpoint_s > 0.0;
+                if left_s <= room && active.running.is_some() {
+                    continue;
+                }
+                if saves || active.running.is_none() {
+                    stops.push((name.clone(), key.clone(), self.save_grace(&key.0.job)));
+                }
+            }
+        }
+        for (name, key, grace) in stops {
+            self.stop(&name, &key, grace);
+        }
+    }
+
+    /// Machines that fail task after task are taken out of use.
+    fn cordon(&mut self, _now: f64) {
+        let limit = self.params.policy.cordon_errors;
+        let bad: Vec<Name> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.standing == Standing::Up && m.errors >= limit)
+            .map(|(n, _)| n.clone())
+            .collect();
+        for name in bad {
+            tracing::warn!(machine = %name, "fails its tasks: cordoned");
+            self.drain(&name);
+        }
+    }
+}
--- /dev/null
+++ b/src/protocol/mesh.rs
@@ -0,0 +1,39 @@
+//! What controllers say to each other (bincode): hints that make answers
+//! fresher or faster. Nothing here is needed for a rule to hold.
+
+use serde::{Deserialize, Serialize};
+
+/// A question to another controller.
+#[derive(Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub enum Ask {
+    /// How many tasks of the job run, as far as you own it?
+    Progress(String),
+    /// The overview of live jobs, as text.
+    Overview,
+}
+
+/// Its answer.
+#[derive(Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub enum Answer {
+    /// Done and running tasks.
+    Progress {
+        done: u32,
+        running: u32,
+    },
+    Overview(String),
+    /// The asked controller does not own what was asked about.
+    NotMine,
+}
+
+/// Encodes a message.
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    bincode::serde::encode_to_vec(message, bincode::config::standard()).unwrap_or_default()
+}
+
+/// Decodes a message, bounded, since peers are not trusted to be of our version.
+pub fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    let config = bincode::config::standard().with_limit::<1_000_000>();
+    bincode::serde::decode_from_slice(bytes, config)
+        .ok()
+        .map(|(message, _)| message)
+}
--- /dev/null
+++ b/src/protocol/policy.rs
@@ -0,0 +1,90 @@
+//! The operators' own settings, an optional file of S-expressions:
+//!
+//! ```text
+//! ((sample . 2) (queue-depth . 2) (age-leases . 1.0))
+//! ```
+//!
+//! Every field has a default; an unknown or impossible one is an error, since
+//! nobody but the operator writes this file.
+
+use serde::Deserialize;
+
+/// Open points of the design, as settings.
+#[derive(Deserialize, Clone, Debug, PartialEq)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Policy {
+    /// Machines sampled for a task. Two: the step from one to two choices is
+    /// the large one (paper, section 1).
+    pub sample: usize,
+    /// Waiting tasks bound to a machine at most.
+    pub queue_depth: usize,
+    /// Age of a bound task, in workers' leases, from which on it starts next;
+    /// at twice that age it is unbound and drawn again.
+    pub age_leases: f64,
+    /// A controller's own lease in the state service, in workers' leases.
+    pub member_leases: f64,
+    /// For how many workers' leases an owner without contact to the state
+    /// service goes on answering its workers.
+    pub quiet_leases: f64,
+    /// Share of the fleet kept free by renting ahead.
+    pub headroom: f64,
+    /// For how long a machine may idle before it is returned, in boot times.
+    pub idle_boots: f64,
+    /// Errors in a row after which a machine is cordoned.
+    pub cordon_errors: u32,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Policy {
+            sample: 2,
+            queue_depth: 2,
+            age_leases: 1.0,
+            member_leases: 0.25,
+            quiet_leases: 6.0,
+            headroom: 0.25,
+            idle_boots: 20.0,
+            cordon_errors: 3,
+        }
+    }
+}
+
+/// Why the operators' file is not usable.
+#[derive(thiserror::Error, Debug)]
+pub enum PolicyError {
+    #[error("operators' settings: {0}")]
+    Malformed(String),
+    #[error("operators' settings: {0}: {1}")]
+    Field(&'static str, &'static str),
+}
+
+impl Policy {
+    /// Reads and checks the file's text.
+    pub fn parse(text: &str) -> Result<Policy, PolicyError> {
+        let policy: Policy =
+            serde_lexpr::from_str(text).map_err(|e| PolicyError::Malformed(e.to_string()))?;
+        if policy.sample == 0 {
+            return Err(PolicyError::Field("sample", "is 0"));
+        }
+        if policy.queue_depth > 1000 {
+            return Err(PolicyError::Field("queue-depth", "is above 1000"));
+        }
+        for (name, value) in [
+            ("age-leases", policy.age_leases),
+            ("member-leases", policy.member_leases),
+            ("quiet-leases", policy.quiet_leases),
+            ("idle-boots", policy.idle_boots),
+        ] {
+            if !value.is_finite() || value <= 0.0 {
+                return Err(PolicyError::Field(name, "is not above 0"));
+            }
+        }
+        if !(0.0..=10.0).contains(&policy.headroom) {
+            return Err(PolicyError::Field("headroom", "is not within 0 and 10"));
+        }
+        if policy.cordon_errors == 0 {
+            return Err(PolicyError::Field("cordon-errors", "is 0"));
+        }
+        Ok(policy)
+    }
+}
--- /dev/null
+++ b/src/protocol/settings.rs
@@ -0,0 +1,210 @@
+//! The platform's settings file (TOML). Unknown fields are ignored; a missing,
+//! malformed or contradictory one is named in the error.
+
+use serde::Deserialize;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+/// Another controller.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Peer {
+    #[serde(rename = "host_name")]
+    pub name: String,
+    #[serde(rename = "site")]
+    pub zone: String,
+    pub addr: SocketAddr,
+}
+
+/// Outside services.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Services {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+/// A team's guarantee and limit; 0 means none.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// What is expected of a class of jobs.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub share: Option<f64>,
+    #[serde(default)]
+    pub times: Option<f64>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+/// Workers' intervals.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+/// Limits of the state service.
+#[derive(Deserialize, Clone, Debug)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+/// Limits of the cloud.
+#[derive(Deserialize, Clone, Debug)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+/// What a controller may use.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Quota {
+    pub cpu: f64,
+    pub memory_mb: f64,
+    pub max_sockets: usize,
+}
+
+/// The cluster.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Cluster {
+    pub nodes: usize,
+    pub zones: Vec<String>,
+    pub time_bound_ms: f64,
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub quota: Quota,
+}
+
+/// The whole file.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Settings {
+    pub host_name: String,
+    #[serde(rename = "site")]
+    pub zone: String,
+    pub front: SocketAddr,
+    pub mesh_addr: SocketAddr,
+    #[serde(default)]
+    pub peers: Vec<Peer>,
+    pub services: Services,
+    pub cluster: Cluster,
+}
+
+/// Why settings are not usable.
+#[derive(thiserror::Error, Debug)]
+pub enum SettingsError {
+    #[error("settings: {0}")]
+    Malformed(String),
+    #[error("settings: {field}: {why}")]
+    Field { field: String, why: String },
+}
+
+fn bad<T>(field: &str, why: &str) -> Result<T, SettingsError> {
+    Err(SettingsError::Field {
+        field: field.into(),
+        why: why.into(),
+    })
+}
+
+impl Settings {
+    /// Reads and checks the file's text.
+    pub fn parse(text: &str) -> Result<Settings, SettingsError> {
+        let settings: Settings = toml::from_str(text)
+            .map_err(|e| SettingsError::Malformed(e.to_string().trim().replace('\n', " ")))?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let c = &self.cluster;
+        let positive = [
+            ("cluster.workers.report_s", c.workers.report_s),
+            ("cluster.workers.lease_s", c.workers.lease_s),
+            ("cluster.workers.cancel_s", c.workers.cancel_s),
+            ("cluster.state.rps", c.state.rps),
+            ("cluster.state.write_rps", c.state.write_rps),
+            ("cluster.state.value_kb", c.state.value_kb),
+            ("cluster.cloud.rps", c.cloud.rps),
+            ("cluster.cloud.list_lag_s", c.cloud.list_lag_s),
+            ("cluster.quota.cpu", c.quota.cpu),
+            ("cluster.quota.memory_mb", c.quota.memory_mb),
+        ];
+        for (field, value) in positive {
+            if !value.is_finite() || value <= 0.0 {
+                return bad(field, "is not above 0");
+            }
+        }
+        if !c.time_bound_ms.is_finite() || c.time_bound_ms < 0.0 {
+            return bad("cluster.time_bound_ms", "is negative");
+        }
+        if c.workers.lease_s <= c.workers.report_s {
+            return bad("cluster.workers.lease_s", "is not above report_s");
+        }
+        if c.state.txn_ops < 4 {
+            return bad("cluster.state.txn_ops", "is below 4");
+        }
+        if c.quota.max_sockets < 32 {
+            return bad("cluster.quota.max_sockets", "is below 32");
+        }
+        if self.host_name.is_empty() || self.host_name.contains(char::is_whitespace) {
+            return bad("host_name", "is empty or holds spaces");
+        }
+        if self.front == self.mesh_addr {
+            return bad("mesh_addr", "is the same as front");
+        }
+        if c.nodes != self.peers.len() + 1 {
+            return bad("cluster.nodes", "does not match the number of peers");
+        }
+        let mut names = HashSet::from([self.host_name.as_str()]);
+        for peer in &self.peers {
+            if !names.insert(&peer.name) {
+                return bad("peers.host_name", "names a controller twice");
+            }
+        }
+        let mut names = HashSet::new();
+        for team in &c.teams {
+            if team.name.is_empty() || !names.insert(&team.name) {
+                return bad("cluster.teams.name", "is empty or named twice");
+            }
+            for (field, min, max) in [
+                ("cluster.teams.cpus", team.cpus, team.cpus_max),
+                ("cluster.teams.gpus", team.gpus, team.gpus_max),
+            ] {
+                if min.is_nan() || max.is_nan() || min < 0.0 || max < 0.0 {
+                    return bad(field, "is negative or no number");
+                }
+                if max > 0.0 && min > max {
+                    return bad(field, "is above the team's limit");
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// The team of this name.
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.cluster.teams.iter().find(|t| t.name == name)
+    }
+}
--- /dev/null
+++ b/src/storage/mod.rs
@@ -0,0 +1,4 @@
+//! The books: done marks, records kept in the state service and their keys.
+
+pub mod marks;
+pub mod records;
--- /dev/null
+++ b/src/storage/records.rs
@@ -0,0 +1,129 @@
+//! What foxspur keeps in the state service, and under which keys.
+
+use crate::protocol::cloud::MachineType;
+use crate::protocol::job::{JobSpec, JobState};
+use serde::{Deserialize, Serialize};
+
+/// Everything that all controllers watch.
+pub const AREA: &str = "fx/a/";
+/// Live jobs.
+pub const LIVE: &str = "fx/live/";
+/// The counter that all terms come from.
+pub const TERM: &str = "fx/a/term";
+/// The known machine types.
+pub const TYPES: &str = "fx/a/types";
+/// The share record.
+pub const SHARE: &str = "fx/a/share/0";
+/// Chunks of a share's machine list.
+pub const MACHINES: &str = "fx/mach/0/";
+
+/// Key of a live job.
+pub fn live(id: &str) -> String {
+    format!("{LIVE}{id}")
+}
+/// Key of a job's final state, kept for ever.
+pub fn fin(id: &str) -> String {
+    format!("fx/fin/{id}")
+}
+/// Prefix of the done marks of a job with many tasks.
+pub fn marks(id: &str) -> String {
+    format!("fx/mark/{id}/")
+}
+/// Key of one chunk of done marks.
+pub fn mark(id: &str, chunk: u32) -> String {
+    format!("fx/mark/{id}/{chunk:06}")
+}
+/// Key that lives as long as a controller's lease.
+pub fn alive(host: &str) -> String {
+    format!("fx/a/alive/{host}")
+}
+/// Key of one chunk of a share's machines.
+pub fn machines(chunk: usize) -> String {
+    format!("{MACHINES}{chunk:04}")
+}
+
+/// The counter of terms.
+#[derive(Serialize, Deserialize, Clone, Debug, Default)]
+pub struct Term {
+    pub term: u64,
+}
+
+/// A controller that is alive; `boot` differs for each start of its process.
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct Alive {
+    pub boot: u64,
+}
+
+/// A former owner that might still answer workers: until `until_ms` (time of
+/// day), or until its host is seen with another boot.
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct Prior {
+    pub host: String,
+    pub boot: u64,
+    pub until_ms: u64,
+}
+
+/// Who holds a share under which term.
+#[derive(Serialize, Deserialize, Clone, Debug)]
+pub struct Share {
+    pub owner: String,
+    pub boot: u64,
+    pub term: u64,
+    pub teams: Vec<String>,
+    #[serde(default)]
+    pub prior: Vec<Prior>,
+}
+
+/// A machine of a share.
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct MachineInfo {
+    pub id: String,
+    pub addr: String,
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+/// A chunk of a share's machines.
+#[derive(Serialize, Deserialize, Clone, Debug, Default)]
+pub struct MachineChunk {
+    pub machines: Vec<MachineInfo>,
+}
+
+/// A live job: its description, when it was accepted (time of day), and its
+/// done marks, unless it has too many tasks for one record.
+#[derive(Serialize, Deserialize, Clone, Debug)]
+pub struct LiveJob {
+    pub spec: JobSpec,
+    pub at_ms: u64,
+    #[serde(default)]
+    pub done: String,
+}
+
+/// Some of a large job's done marks.
+#[derive(Serialize, Deserialize, Clone, Debug, Default)]
+pub struct MarkChunk {
+    pub done: String,
+}
+
+/// A job's final state.
+#[derive(Serialize, Deserialize, Clone, Copy, Debug)]
+pub struct Final {
+    pub state: JobState,
+    pub tasks: u32,
+    pub done: u32,
+}
+
+/// Whether a task of the job fits the type at all.
+pub fn fits_type(spec: &JobSpec, kind: &MachineType) -> bool {
+    let allowed = spec
+        .types
+        .as_ref()
+        .is_none_or(|types| types.contains(&kind.name));
+    let zone = spec.zone.as_ref().is_none_or(|z| kind.zones.contains(z));
+    allowed
+        && zone
+        && spec.cpus <= kind.cpus
+        && spec.gpus <= kind.gpus
+        && spec.memory_gb <= kind.memory_gb
+}
--- /dev/null
+++ b/src/transport/http.rs
@@ -0,0 +1,91 @@
+//! One HTTP call with a timeout, and what is known about it when it failed.
+
+use bytes::Bytes;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Largest response taken; watches and listings may be long.
+const MAX_BODY: usize = 4 << 20;
+
+/// A response.
+#[derive(Debug)]
+pub struct Response {
+    pub status: u16,
+    pub body: Bytes,
+}
+
+/// Why there is no response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum CallError {
+    /// The connection was never made: the other side did and will do nothing.
+    #[error("not sent")]
+    NotSent,
+    /// Sent, perhaps: it may have been executed, or may be at any later time.
+    #[error("unknown outcome")]
+    Unknown,
+}
+
+/// A client with its own connection pool.
+#[derive(Clone)]
+pub struct Http {
+    client: awc::Client,
+    connect: Duration,
+}
+
+impl Http {
+    /// `connect_s` bounds the time to connect, `sockets` the pool.
+    pub fn new(connect_s: f64, sockets: usize) -> Http {
+        let connect = Duration::from_secs_f64(connect_s);
+        let connector = awc::Connector::new()
+            .timeout(connect)
+            .limit(sockets)
+            .conn_keep_alive(Duration::from_secs(30));
+        let client = awc::Client::builder()
+            .connector(connector)
+            .disable_redirects()
+            .no_default_headers()
+            .finish();
+        Http { client, connect }
+    }
+
+    /// Calls `method path` at `addr` and reads the whole response.
+    pub async fn call(
+        &self,
+        addr: SocketAddr,
+        method: awc::http::Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        timeout_s: f64,
+    ) -> Result<Response, CallError> {
+        let timeout = Duration::from_secs_f64(timeout_s);
+        let request = self
+            .client
+            .request(method, format!("http://{addr}{path}"))
+            .insert_header(("content-type", "application/json"))
+            .timeout(timeout);
+        let exchange = async {
+            let sent = match body {
+                Some(body) => request.send_body(body).await,
+                None => request.send().await,
+            };
+            let mut response = sent.map_err(|e| match e {
+                awc::error::SendRequestError::Connect(_) | awc::error::SendRequestError::Url(_) => {
+                    CallError::NotSent
+                }
+                _ => CallError::Unknown,
+            })?;
+            let status = response.status().as_u16();
+            let body = response
+                .body()
+                .limit(MAX_BODY)
+                .await
+                .map_err(|_| CallError::Unknown)?;
+            Ok(Response { status, body })
+        };
+        // The outer bound also covers the body and waiting for the pool; it
+        // leaves the connector time to say that it never connected.
+        actix_rt::time::timeout(timeout + self.connect, exchange)
+            .await
+            .unwrap_or(Err(CallError::Unknown))
+    }
+}
