--- a/src/app.rs
+++ b/src/app.rs
@@ -243,6 +243,30 @@
     unavailable()
 }
 
+/// Live jobs at a glance, from whoever owns the share.
+async fn overview(node: Shared) -> HttpResponse {
+    let own = node.core.borrow().as_ref().map(|c| c.overview(node.now()));
+    let text = match own {
+        Some(text) => Some(text),
+        None => {
+            let owner = node.other_owner().and_then(|o| node.peer(&o));
+            match owner {
+                Some(addr) => match node.mesh.ask(addr, &Ask::Overview).await {
+                    Some(Answer::Overview(text)) => Some(text),
+                    _ => None,
+                },
+                None => None,
+            }
+        }
+    };
+    match text {
+        Some(text) => HttpResponse::Ok()
+            .content_type("text/plain; charset=utf-8")
+            .body(text),
+        None => unavailable(),
+    }
+}
+
 /// Healthy once we know the cluster.
 async fn up(node: Shared) -> HttpResponse {
     if node.view.borrow().loaded {
@@ -292,6 +316,7 @@
             Some((done, running)) => Answer::Progress { done, running },
             None => Answer::NotMine,
         },
+        (Ask::Overview, Some(core)) => Answer::Overview(core.overview(node.now())),
         _ => Answer::NotMine,
     };
     HttpResponse::Ok().body(mesh::encode(&reply))
@@ -306,6 +331,7 @@
         .app_data(data.clone())
         .app_data(PayloadConfig::new(MAX_BODY))
         .route("/up", web::get().to(up))
+        .route("/overview", web::get().to(overview))
         .route("/hello", web::post().to(hello))
         .route("/work", web::post().to(submit))
         .route("/work/{id}", web::get().to(query))
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -13,6 +13,7 @@
 pub mod member;
 pub mod node;
 pub mod order;
+pub mod overview;
 pub mod place;
 pub mod preempt;
 pub mod quota;
--- a/src/coordination/preempt.rs
+++ b/src/coordination/preempt.rs
@@ -48,8 +48,10 @@
     /// Whether `job` may stop a task of `victim`.
     fn may_stop(&self, job: &Job, victim: &Job, usage: &Usage) -> bool {
         if victim.spec.urgency < job.spec.urgency && job.spec.urgency > Urgency::Idle {
-            // What is within another team's guarantee yields to no borrowed work.
-            return !victim.guaranteed || victim.spec.team == job.spec.team || job.guaranteed;
+            // What is within a guarantee yields to no borrowed work, not even of
+            // its own team: it would take its room from a third one, who took
+            // it from the first, and so on in a circle.
+            return !victim.guaranteed || job.guaranteed;
         }
         if !job.guaranteed || victim.guaranteed || victim.spec.team == job.spec.team {
             return false;
