--- a/src/app.rs
+++ b/src/app.rs
@@ -12,7 +12,7 @@
 use crate::protocol::policy::Policy;
 use crate::protocol::settings::Settings;
 use crate::protocol::state::Txn;
-use crate::protocol::worker::{Redirect, Report};
+use crate::protocol::worker::{Redirect, Reply, ReportHead};
 use crate::storage::marks::Marks;
 use crate::storage::records::{self, Final, LiveJob};
 use crate::transport::clients::{Failure, Lane};
@@ -281,16 +281,36 @@
         Ok(body) => body,
         Err(refusal) => return refusal,
     };
-    let Ok(report) = serde_json::from_slice::<Report>(&body) else {
-        return refuse(400, "not a report");
-    };
     if !node.entitled() {
         let to = node.other_owner();
         return answer(421, &Redirect { to: to.as_deref() });
     }
+    let Ok(head) = serde_json::from_slice::<ReportHead>(&body) else {
+        return refuse(400, "not a report");
+    };
     let now = node.now();
+    if let Some(core) = node.core.borrow_mut().as_mut() {
+        if core.repeats(&head, now) {
+            return answer(
+                200,
+                &Reply {
+                    token: core.term,
+                    commands: Vec::new(),
+                },
+            );
+        }
+    }
+    let tasks = head.tasks;
+    let Some(report) = head.read() else {
+        return refuse(400, "not a report");
+    };
     let verdict = match node.core.borrow_mut().as_mut() {
-        Some(core) => core.hello(&report, now),
+        Some(core) => {
+            let verdict = core.hello(&report, now);
+            let order = (report.session, report.seq);
+            core.remember(&report.machine, order, tasks.get());
+            verdict
+        }
         None => WorkerAnswer::Refuse,
     };
     match verdict {
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -3,6 +3,8 @@
 use super::fence::Fence;
 use super::job::{Job, Name, TaskId};
 use super::machine::{Active, Machine, Standing};
+use super::order::Order;
+use super::room::{Index, Room};
 use crate::protocol::cloud::MachineType;
 use crate::protocol::job::Shape;
 use crate::protocol::policy::Policy;
@@ -68,6 +70,19 @@
     pub record_dirty: bool,
     /// Time of day less our steady time, in seconds.
     pub wall_offset_s: f64,
+    /// Latest time passed in.
+    pub(super) now: f64,
+    /// Usable machines by room.
+    pub(super) index: Index,
+    /// Machines with tasks in their queue, and some that had.
+    pub(super) queued: BTreeSet<Name>,
+    /// Machines where a bound task may start now.
+    pub(super) freed: BTreeSet<Name>,
+    /// Attempts being stopped, and some that were.
+    pub(super) stopping: BTreeSet<(Name, (TaskId, u64))>,
+    pub(super) order: Order,
+    /// When queues were last searched for aged tasks.
+    pub(super) aged_at: f64,
     pub(super) attempts: u64,
     pub(super) run_ms: HashMap<String, Histogram<u32>>,
     pub(super) rng: SmallRng,
@@ -87,6 +102,13 @@
             dirty: true,
             record_dirty: false,
             wall_offset_s: 0.0,
+            now: 0.0,
+            index: Index::default(),
+            queued: BTreeSet::new(),
+            freed: BTreeSet::new(),
+            stopping: BTreeSet::new(),
+            order: Order::default(),
+            aged_at: f64::NEG_INFINITY,
             attempts: 0,
             run_ms: HashMap::new(),
             rng: SmallRng::seed_from_u64(seed),
@@ -101,6 +123,9 @@
 
     pub fn set_types(&mut self, types: &[MachineType]) {
         self.types = types.iter().map(|t| (t.name.clone(), t.clone())).collect();
+        for name in self.machines.keys().cloned().collect::<Vec<_>>() {
+            self.reindex(&name);
+        }
         self.dirty = true;
     }
 
@@ -123,18 +148,20 @@
                 let done = Marks::from_text(&record.done, job.spec.tasks);
                 job.version = version;
                 job.written.merge(&done);
-                job.done.merge(&done);
+                job.merge_done(&done);
             }
             return;
         }
         let mut done = Marks::from_text(&record.done, record.spec.tasks);
         done.merge(&extra);
         let at = record.at_ms as f64 / 1000.0 - self.wall_offset_s;
-        let job = Job::new(record.spec, at, version, done);
+        let team = self.team_at(&record.spec.team);
+        let job = Job::new(record.spec, team, at, version, done);
         if job.complete() {
             self.unwritten.insert(id.clone());
         }
         self.jobs.insert(id, job);
+        self.order.stale = true;
         self.dirty = true;
     }
 
@@ -144,15 +171,18 @@
             return;
         };
         let name = name.clone();
-        for machine in self.machines.values_mut() {
-            machine.queue.retain(|b| b.task.job != name);
-        }
         let Some(job) = self.jobs.get_mut(&name) else {
             return;
         };
         job.over = true;
-        job.bound = 0;
+        let bound: Vec<u32> = job.bound.keys().copied().collect();
         let on: Vec<(u32, (Name, u64))> = job.on.iter().map(|(t, m)| (*t, m.clone())).collect();
+        for index in bound {
+            self.unbind(&TaskId {
+                job: name.clone(),
+                index,
+            });
+        }
         for (index, (machine, attempt)) in on {
             let task = TaskId {
                 job: name.clone(),
@@ -161,20 +191,22 @@
             self.stop(&machine, &(task, attempt), 0.0);
         }
         self.unwritten.remove(&name);
+        self.order.stale = true;
         self.dirty = true;
-        self.drop_finished(&name);
     }
 
-    /// Forgets an over job once nothing of it can be anywhere.
-    pub(super) fn drop_finished(&mut self, id: &str) {
-        let gone = self.jobs.get(id).is_some_and(|j| j.over && j.on.is_empty());
-        let shown = self
+    /// Forgets over jobs of which nothing can be anywhere any more. It looks at
+    /// every machine, so it is done now and then.
+    pub fn sweep(&mut self) {
+        self.prune_stopping();
+        let over = |j: &Job| j.over && j.on.is_empty();
+        let shown: BTreeSet<&Name> = self
             .machines
             .values()
-            .any(|m| m.active.keys().any(|(t, _)| &*t.job == id));
-        if gone && !shown {
-            self.jobs.remove(id);
-        }
+            .flat_map(|m| m.active.keys().map(|(task, _)| &task.job))
+            .collect();
+        self.jobs
+            .retain(|name, job| !over(job) || shown.contains(name));
     }
 
     /// Wants an attempt stopped.
@@ -192,6 +224,8 @@
             if !active.exited() && sooner {
                 active.stop = Some(grace_s);
                 active.unsent = true;
+                m.repeated = None;
+                self.stopping.insert((name.clone(), key.clone()));
                 self.outbox.insert(name);
             }
         }
@@ -207,8 +241,10 @@
             job.push(task.index);
             return;
         };
-        job.on.insert(task.index, (machine.clone(), attempt));
-        m.active.insert((task, attempt), Active::new(now));
+        job.set_on(task.index, machine.clone(), attempt);
+        let holds = Room::of_task(&job.spec);
+        m.active.insert((task, attempt), Active::new(now, holds));
+        m.repeated = None;
         self.outbox.insert(machine.clone());
     }
 
@@ -230,21 +266,13 @@
             return;
         };
         m.strangers = 0;
+        m.repeated = None;
+        m.idle_since = self.now;
         let active = std::mem::take(&mut m.active);
-        let queue = std::mem::take(&mut m.queue);
         for key in active.keys() {
             self.off(key);
         }
-        for bound in queue {
-            if let Some(job) = self.jobs.get_mut(&bound.task.job) {
-                job.bound = job.bound.saturating_sub(1);
-                job.push(bound.task.index);
-            }
-        }
-        let jobs: BTreeSet<Name> = active.into_keys().map(|(t, _)| t.job).collect();
-        for job in jobs {
-            self.drop_finished(&job);
-        }
+        self.unbind_all(name);
     }
 
     /// The cloud said the machine and all on it are gone.
@@ -253,6 +281,7 @@
         if self.machines.remove(name).is_some_and(|m| m.recorded) {
             self.record_dirty = true;
         }
+        self.index.remove(name);
         self.outbox.remove(name);
         self.dirty = true;
     }
@@ -267,13 +296,8 @@
         }
         m.standing = Standing::Draining;
         let keys: Vec<(TaskId, u64)> = m.holding().map(|(k, _)| k.clone()).collect();
-        let queue = std::mem::take(&mut m.queue);
-        for bound in queue {
-            if let Some(job) = self.jobs.get_mut(&bound.task.job) {
-                job.bound = job.bound.saturating_sub(1);
-                job.push(bound.task.index);
-            }
-        }
+        m.repeated = None;
+        self.unbind_all(name);
         for key in keys {
             let grace = self.save_grace(&key.0.job);
             self.stop(name, &key, grace);
@@ -307,6 +331,7 @@
             if let Some(m) = self.machines.get_mut(info.id.as_str()) {
                 if !m.recorded && m.standing != Standing::Expired {
                     m.recorded = true;
+                    self.reindex(&info.id);
                     self.dirty = true;
                 }
             }
@@ -392,7 +417,7 @@
         if let Some(job) = self.jobs.get_mut(id) {
             job.version = version;
             job.written.merge(done);
-            job.done.merge(done);
+            job.merge_done(done);
             self.unwritten.insert(id.into());
         }
     }
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -77,7 +77,8 @@
                     core.place(now);
                 }
                 if this.beats % 32 == 0 {
-                    tracing::debug!("{}", core.summary(now));
+                    core.sweep();
+                    tracing::debug!("{}", core.summary());
                 }
             }
             drain(&this.node);
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -215,7 +215,7 @@
 
 /// Drains one machine that has been idle for long while much is free.
 fn retire_idle(node: &Rc<Node>, core: &mut super::core::Core, now: f64) {
-    let used: f64 = core.usage().values().map(|u| u.0).sum();
+    let used: f64 = core.usage().cpus();
     let waiting = core.jobs.values().any(|j| j.waiting() > 0);
     let have: f64 = core
         .machines
@@ -259,11 +259,11 @@
             !core.machines.contains_key(id.as_str()) && now - *since < 2.0 * boot_s
         });
         let mut demand = Demand {
-            used_cpus: core.usage().values().map(|u| u.0).sum(),
+            used_cpus: core.usage().cpus(),
             ..Demand::default()
         };
         for job in core.jobs.values() {
-            let n = job.waiting() + job.bound;
+            let n = job.lacking();
             if !job.over && n > 0 {
                 demand.waiting.push((job.spec.clone(), n));
             }
--- a/src/coordination/job.rs
+++ b/src/coordination/job.rs
@@ -2,7 +2,7 @@
 
 use crate::protocol::job::{JobSpec, Shape, Urgency};
 use crate::storage::marks::Marks;
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::rc::Rc;
 
 /// Name of a job or machine.
@@ -34,6 +34,8 @@
 #[derive(Debug)]
 pub struct Job {
     pub spec: Rc<JobSpec>,
+    /// Its team's place in the settings; `None` if they name no such team.
+    pub team: Option<usize>,
     /// When it was accepted, in our steady time.
     pub at: f64,
     /// Version of its record in the state service.
@@ -42,6 +44,8 @@
     pub done: Marks,
     /// Done tasks whose mark is written.
     pub written: Marks,
+    /// When a mark was last written.
+    pub marked_at: f64,
     /// The job is over (done or cancelled, recorded): nothing may start.
     pub over: bool,
     /// Tasks from this number on were never touched.
@@ -49,37 +53,74 @@
     /// Tasks to be run (again) below `next`.
     back: BTreeSet<u32>,
     /// Where each task is that may be on a machine, with its attempt.
-    pub on: HashMap<u32, (Name, u64)>,
-    /// Tasks bound to a machine's queue.
-    pub bound: u32,
+    pub on: BTreeMap<u32, (Name, u64)>,
+    /// Tasks bound to a machine's queue, and which machine that is.
+    pub bound: BTreeMap<u32, Name>,
     /// Machines on which a task of this job failed.
     pub failed_on: HashSet<Name>,
     /// Not before this time after failures.
     pub not_before: f64,
     /// Whether the job fits into its team's guarantee (see `quota`).
     pub guaranteed: bool,
+    /// Whether an aim was in reach when the order was last made (see `order`).
+    pub pressed: bool,
 }
 
 impl Job {
     /// A job from its record.
-    pub fn new(spec: JobSpec, at: f64, version: u64, done: Marks) -> Job {
-        Job {
+    pub fn new(spec: JobSpec, team: Option<usize>, at: f64, version: u64, done: Marks) -> Job {
+        let mut job = Job {
             spec: Rc::new(spec),
+            team,
             at,
             version,
             written: done.clone(),
-            done,
+            done: Marks::default(),
+            marked_at: at,
             over: false,
             next: 0,
             back: BTreeSet::new(),
-            on: HashMap::new(),
-            bound: 0,
+            on: BTreeMap::new(),
+            bound: BTreeMap::new(),
             failed_on: HashSet::new(),
             not_before: 0.0,
             guaranteed: false,
+            pressed: true,
+        };
+        job.merge_done(&done);
+        job
+    }
+
+    /// From now on the task is counted one by one. Nothing from `next` on is
+    /// done or on a machine, so what waits is known without looking at each.
+    fn touch(&mut self, task: u32) {
+        if task >= self.next {
+            self.back.extend(self.next..task);
+            self.next = task + 1;
         }
     }
 
+    /// The task is done.
+    pub fn set_done(&mut self, task: u32) {
+        self.touch(task);
+        self.done.insert(task);
+        self.back.remove(&task);
+    }
+
+    /// These tasks are done.
+    pub fn merge_done(&mut self, done: &Marks) {
+        for task in done.iter() {
+            self.set_done(task);
+        }
+    }
+
+    /// The task is on a machine, or may be.
+    pub fn set_on(&mut self, task: u32, machine: Name, attempt: u64) {
+        self.touch(task);
+        self.on.insert(task, (machine, attempt));
+        self.back.remove(&task);
+    }
+
     /// Takes the next waiting task.
     pub fn pop(&mut self) -> Option<u32> {
         if self.over {
@@ -102,19 +143,23 @@
 
     /// Gives a task back to the waiting ones.
     pub fn push(&mut self, task: u32) {
-        if !self.over && task < self.next && !self.done.contains(task) {
+        let known = task < self.next && !self.on.contains_key(&task);
+        if !self.over && known && !self.done.contains(task) {
             self.back.insert(task);
         }
     }
 
-    /// How many tasks wait unbound, at most.
+    /// How many tasks wait unbound.
     pub fn waiting(&self) -> u32 {
         if self.over {
             return 0;
         }
-        let untouched_known = self.on.keys().filter(|t| **t >= self.next).count() as u32;
-        let fresh = self.spec.tasks - self.next;
-        (fresh + self.back.len() as u32).saturating_sub(untouched_known)
+        self.spec.tasks - self.next.min(self.spec.tasks) + self.back.len() as u32
+    }
+
+    /// How many tasks wait, bound or not.
+    pub fn lacking(&self) -> u32 {
+        self.waiting() + self.bound.len() as u32
     }
 
     /// Whether all tasks are done, as reported.
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -1,6 +1,7 @@
 //! A machine of the share, and the attempts that may be on it.
 
 use super::job::{Name, TaskId};
+use super::room::Room;
 use crate::protocol::worker::{Cause, Phase};
 use crate::storage::records::MachineInfo;
 use std::collections::BTreeMap;
@@ -26,10 +27,12 @@
     pub unsent: bool,
     /// It is to be stopped, with this grace.
     pub stop: Option<f64>,
+    /// What it takes of the machine, as far as its job is known.
+    pub holds: Room,
 }
 
 impl Active {
-    pub fn new(now: f64) -> Active {
+    pub fn new(now: f64, holds: Room) -> Active {
         Active {
             phase: None,
             cause: None,
@@ -40,8 +43,14 @@
             limbo: None,
             unsent: true,
             stop: None,
+            holds,
         }
     }
+    /// Whether a report that shows the same again would tell us nothing.
+    pub fn settled(&self) -> bool {
+        let plain = self.phase.is_some() && !self.exited() && self.stop.is_none();
+        plain && !self.unsent && !self.in_flight()
+    }
     /// Whether a copy of its start may still reach the machine.
     pub fn in_flight(&self) -> bool {
         self.hello.is_some() || self.direct || self.limbo.is_some()
@@ -101,6 +110,13 @@
     /// Attempts of jobs that we do not know, not exited.
     pub strangers: u32,
     pub queue: Vec<Bound>,
+    /// Room left by what holds it (see `place`).
+    pub free: Room,
+    /// It stands in the index of usable machines.
+    pub indexed: bool,
+    /// The task list of its newest report, as it came, while a report with the
+    /// same list needs no more than an answer.
+    pub repeated: Option<Box<str>>,
     /// Images it has had, most recently used last.
     pub images: Vec<(String, f64)>,
     /// A direct call is under way.
@@ -128,6 +144,9 @@
             active: BTreeMap::new(),
             strangers: 0,
             queue: Vec::new(),
+            free: Room::default(),
+            indexed: false,
+            repeated: None,
             images: Vec::new(),
             calling: false,
             called_at: f64::NEG_INFINITY,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -16,5 +16,7 @@
 pub mod overview;
 pub mod place;
 pub mod preempt;
+pub mod queue;
 pub mod quota;
+pub mod room;
 pub mod sessions;
--- a/src/coordination/order.rs
+++ b/src/coordination/order.rs
@@ -2,13 +2,26 @@
 //! reach after everything that can still meet one.
 
 use super::core::Core;
-use super::job::Job;
+use super::job::{Job, Name};
+use super::preempt::dearness;
 use crate::protocol::job::Shape;
 use crate::protocol::settings::Objective;
 
 /// Rank of jobs that can meet none of their aims any more.
 const LATE: u8 = 5;
 
+/// The order of jobs, made anew from time to time.
+#[derive(Debug, Default)]
+pub struct Order {
+    /// Unfinished jobs: rank, order within it, name.
+    pub(super) jobs: Vec<(u8, f64, Name)>,
+    /// The same jobs, those first whose stopping is cheapest.
+    pub(super) victims: Vec<(f64, Name)>,
+    /// Jobs came or went since it was made.
+    pub(super) stale: bool,
+    made_at: f64,
+}
+
 /// Time left until the objective is out of reach for the job, if it applies.
 fn left_s(objective: &Objective, job: &Job, age_s: f64, predicted_s: f64) -> Option<f64> {
     if objective.class.as_deref() != Some(job.spec.class.as_str()) {
@@ -26,6 +39,49 @@
 }
 
 impl Core {
+    /// Makes the order anew if jobs came or went, or some time has passed: aims
+    /// go out of reach and work left shrinks slowly against a report interval.
+    pub(super) fn make_order(&mut self, now: f64) {
+        let fresh = now - self.order.made_at < self.params.report_s / 4.0;
+        if fresh && !self.order.stale {
+            return;
+        }
+        if self.order.stale {
+            self.judge_guarantees();
+        }
+        let names: Vec<Name> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| !j.over && !j.complete())
+            .map(|(n, _)| n.clone())
+            .collect();
+        let mut order = Order {
+            made_at: now,
+            ..Order::default()
+        };
+        for name in names {
+            let Some(job) = self.jobs.get(&name) else {
+                continue;
+            };
+            let pressed = self.pressed(job, now);
+            let (rank, within) = self.precedence(job, now);
+            order.jobs.push((rank, within, name.clone()));
+            if let Some(job) = self.jobs.get_mut(&name) {
+                job.pressed = pressed;
+                order.victims.push((dearness(job), name));
+            }
+        }
+        order.jobs.sort_by(|a, b| {
+            a.0.cmp(&b.0)
+                .then(a.1.total_cmp(&b.1))
+                .then_with(|| a.2.cmp(&b.2))
+        });
+        order
+            .victims
+            .sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+        self.order = order;
+    }
+
     /// Seconds until the first aim still in reach is lost, `None` without one.
     pub(super) fn slack_s(&self, job: &Job, now: f64) -> Option<f64> {
         let age_s = now - job.at;
--- a/src/coordination/overview.rs
+++ b/src/coordination/overview.rs
@@ -3,7 +3,6 @@
 
 use super::core::Core;
 use super::job::Job;
-use super::place::Slot;
 use super::quota::{within_limit, Usage};
 use std::fmt::Write;
 
@@ -12,29 +11,24 @@
 
 impl Core {
     /// Why nothing of the job runs or could be added now.
-    fn reason(&self, job: &Job, slots: &[Slot], usage: &Usage, now: f64) -> &'static str {
+    fn reason(&self, job: &Job, usage: &Usage, now: f64) -> &'static str {
         if !self.fence.open {
             return "waits until all machines are accounted for after a takeover";
         }
         if job.suspect() {
             return "fails on every machine it was tried on: look at the job";
         }
-        if job.waiting() + job.bound == 0 {
+        if job.lacking() == 0 {
             return "all tasks are on machines";
         }
         if job.not_before > now {
             return "waits after a failure or a refused start";
         }
-        let used = usage.get(&job.spec.team).copied().unwrap_or_default();
-        if !within_limit(self.team(&job.spec.team), used, &job.spec, 1.0) {
+        if !within_limit(self.team(job.team), usage.of(job.team), &job.spec, 1.0) {
             return "its team is at its limit";
         }
-        let fitting = slots.iter().any(|s| {
-            self.machines
-                .get(&s.name)
-                .is_some_and(|m| self.allowed(&job.spec, m))
-        });
-        if fitting {
+        let pools = self.index.pools_for(&job.spec, &self.types, |_| true);
+        if !pools.is_empty() {
             "waits for room"
         } else {
             "no machine that it may use is up"
@@ -43,7 +37,6 @@
 
     /// A table of live jobs, stuck ones first.
     pub fn overview(&self, now: f64) -> String {
-        let slots = self.slots(now);
         let usage = self.usage();
         let mut rows: Vec<(bool, f64, String)> = Vec::new();
         for (id, job) in self.jobs.iter().filter(|(_, j)| !j.over) {
@@ -65,7 +58,7 @@
                 done,
                 running,
                 job.spec.tasks,
-                self.reason(job, &slots, &usage, now)
+                self.reason(job, &usage, now)
             );
             rows.push((!stuck, -age_s, row));
         }
@@ -75,7 +68,7 @@
             "{} live jobs, {stuck} stuck; term {}; {}\n\n{:<6} {:<22} {:<20} {:<16} {:>7} {:>6} {:>6} {:>6}  why\n",
             rows.len(),
             self.term,
-            self.summary(now),
+            self.summary(),
             "state",
             "job",
             "class",
--- a/src/coordination/place.rs
+++ b/src/coordination/place.rs
@@ -1,41 +1,36 @@
 //! Placement: each task samples fitting machines, starts at once on one with
 //! free room, else joins the one with fewer bound waiting tasks; a queue starts
-//! the smallest prediction first.
+//! the smallest prediction first (see `queue`).
+//!
+//! A pass is made whenever something may have changed, so it must not look at
+//! every machine or every task: samples come from the index of machines by
+//! room, and jobs that cannot be served are passed over by a few numbers.
 
 use super::core::Core;
 use super::job::{Job, Name, TaskId};
-use super::machine::{Bound, Machine, Standing};
-use super::quota::within_limit;
-use crate::protocol::job::JobSpec;
-use rand::seq::index::sample;
+use super::machine::{Machine, Standing};
+use super::quota::{within_limit, Usage};
+use super::room::{may_use, Room};
+use crate::protocol::job::{JobSpec, Urgency};
+use rand::Rng;
+use std::collections::{HashMap, HashSet};
 
-/// Free room of a machine during one pass.
-#[derive(Debug, Clone)]
-pub(super) struct Slot {
-    pub name: Name,
-    pub cpus: f64,
-    pub gpus: f64,
-    pub memory_gb: f64,
-    pub queued: usize,
-}
+/// Draws for each machine of a sample, before a look at all that are left:
+/// chosen by free CPUs, most have the memory too.
+const DRAWS: usize = 4;
+/// Most machines looked at as the last resort.
+const SCAN: usize = 64;
 
-impl Slot {
-    pub fn fits(&self, spec: &JobSpec) -> bool {
-        const E: f64 = 1e-6;
-        spec.cpus <= self.cpus + E
-            && spec.gpus <= self.gpus + E
-            && spec.memory_gb <= self.memory_gb + E
-    }
-    pub fn take(&mut self, spec: &JobSpec) {
-        self.cpus -= spec.cpus;
-        self.gpus -= spec.gpus;
-        self.memory_gb -= spec.memory_gb;
-    }
-    pub fn give(&mut self, spec: &JobSpec) {
-        self.cpus += spec.cpus;
-        self.gpus += spec.gpus;
-        self.memory_gb += spec.memory_gb;
-    }
+/// What one pass remembers.
+#[derive(Debug, Default)]
+pub(super) struct Pass {
+    pub usage: Usage,
+    /// Kinds of tasks for which no room can be made.
+    pub hopeless: HashSet<(Option<usize>, Urgency, bool, u64)>,
+    /// What each team's stopped work will free, less what waits for it.
+    pub freeing: Option<HashMap<usize, (f64, f64)>>,
+    /// Whether a team has work on machines less urgent than this.
+    less_urgent: HashMap<(Option<usize>, Urgency), bool>,
 }
 
 /// Where tasks of a job may go, given its other tasks.
@@ -50,7 +45,7 @@
 }
 
 impl Zones {
-    fn allows(&self, zone: &str) -> bool {
+    pub fn allows(&self, zone: &str) -> bool {
         if self.only.as_ref().is_some_and(|z| z != zone) {
             return false;
         }
@@ -79,7 +74,7 @@
         self.fence.open
     }
 
-    fn usable(&self, m: &Machine, now: f64) -> bool {
+    pub(super) fn usable(&self, m: &Machine, now: f64) -> bool {
         m.recorded
             && m.fenced
             && m.standing == Standing::Up
@@ -88,46 +83,39 @@
             && now - m.heard < self.params.silent_s()
     }
 
-    pub(super) fn slots(&self, now: f64) -> Vec<Slot> {
-        let mut slots = Vec::with_capacity(self.machines.len());
-        for (name, m) in &self.machines {
-            let Some(kind) = self.types.get(&m.info.kind) else {
-                continue;
-            };
-            if !self.usable(m, now) {
-                continue;
+    /// Brings a machine's free room and its place in the index up to date.
+    pub(super) fn reindex(&mut self, name: &str) {
+        let Some((key, m)) = self.machines.get_key_value(name) else {
+            self.index.remove(name);
+            return;
+        };
+        let key = key.clone();
+        let mut free = Room::default();
+        if let Some(kind) = self.types.get(&m.info.kind) {
+            free = Room::of_type(kind);
+            for (_, active) in m.holding() {
+                free.take(&active.holds);
             }
-            let mut slot = Slot {
-                name: name.clone(),
-                cpus: kind.cpus,
-                gpus: kind.gpus,
-                memory_gb: kind.memory_gb,
-                queued: m.queue.len(),
-            };
-            for ((task, _), _) in m.holding() {
-                if let Some(job) = self.jobs.get(&task.job) {
-                    slot.take(&job.spec);
-                }
+        }
+        let usable = self.types.contains_key(&m.info.kind) && self.usable(m, self.now);
+        let short = m.queue.len() < self.params.policy.queue_depth;
+        if usable {
+            let info = m.info.clone();
+            self.index.put(&key, &info, free.cpus, short);
+        } else {
+            self.index.remove(&key);
+        }
+        if let Some(m) = self.machines.get_mut(&key) {
+            let grown = usable && (!m.indexed || m.free != free);
+            m.free = free;
+            m.indexed = usable;
+            if grown && !m.queue.is_empty() {
+                self.freed.insert(key);
             }
-            slots.push(slot);
         }
-        slots
     }
 
-    /// Whether the machine is one the job allows at all, apart from room.
-    pub(super) fn allowed(&self, spec: &JobSpec, m: &Machine) -> bool {
-        (spec.spot || !m.info.spot)
-            && spec.zone.as_ref().is_none_or(|z| *z == m.info.zone)
-            && spec
-                .types
-                .as_ref()
-                .is_none_or(|types| types.contains(&m.info.kind))
-            && self.types.get(&m.info.kind).is_some_and(|t| {
-                spec.cpus <= t.cpus && spec.gpus <= t.gpus && spec.memory_gb <= t.memory_gb
-            })
-    }
-
-    pub(super) fn zones(&self, job: &Job, slots: &[Slot]) -> Zones {
+    pub(super) fn zones(&self, job: &Job) -> Zones {
         let spec = &job.spec;
         if !spec.one_zone && !spec.spread {
             return Zones::default();
@@ -146,28 +134,7 @@
         } else if let Some((zone, _)) = count.first() {
             Some(zone.clone())
         } else {
-            // The zone with most room for the job decides for all of it.
-            let mut room: Vec<(String, f64)> = Vec::new();
-            for slot in slots {
-                let Some(m) = self.machines.get(&slot.name) else {
-                    continue;
-                };
-                if !self.allowed(spec, m) {
-                    continue;
-                }
-                let r = if slot.fits(spec) {
-                    slot.cpus + 1.0
-                } else {
-                    0.0
-                };
-                match room.iter_mut().find(|(z, _)| *z == m.info.zone) {
-                    Some(z) => z.1 += r,
-                    None => room.push((m.info.zone.clone(), r)),
-                }
-            }
-            room.into_iter()
-                .max_by(|a, b| a.1.total_cmp(&b.1))
-                .map(|(z, _)| z)
+            self.roomiest_zone(spec)
         };
         Zones {
             only,
@@ -176,168 +143,76 @@
         }
     }
 
+    /// The zone with most room for the job, which decides for all of its tasks.
+    fn roomiest_zone(&self, spec: &JobSpec) -> Option<String> {
+        let mut room: Vec<(&str, usize)> = Vec::new();
+        for p in self.index.pools_for(spec, &self.types, |_| true) {
+            let zone = self.index.pool(p).zone.as_str();
+            let free = self.index.free_cpus(p, spec.cpus);
+            match room.iter_mut().find(|(z, _)| *z == zone) {
+                Some(z) => z.1 += free,
+                None => room.push((zone, free)),
+            }
+        }
+        let best = room.into_iter().max_by_key(|z| z.1);
+        best.map(|(zone, _)| zone.to_string())
+    }
+
     /// One pass over all that waits.
     pub fn place(&mut self, now: f64) {
+        self.now = now;
         if !self.gate_open() {
             return;
         }
         self.dirty = false;
-        self.judge_guarantees();
         self.unbind_aged(now);
-        let mut slots = self.slots(now);
-        let mut usage = self.usage();
-        let mut order: Vec<(u8, f64, Name)> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| !j.over && (j.waiting() > 0 || j.bound > 0) && j.not_before <= now)
-            .map(|(n, j)| {
-                let (rank, within) = self.precedence(j, now);
-                (rank, within, n.clone())
-            })
-            .collect();
-        order.sort_by(|a, b| {
-            a.0.cmp(&b.0)
-                .then(a.1.total_cmp(&b.1))
-                .then_with(|| a.2.cmp(&b.2))
-        });
+        self.make_order(now);
+        let mut pass = Pass {
+            usage: self.usage(),
+            ..Pass::default()
+        };
+        let freed: Vec<Name> = std::mem::take(&mut self.freed).into_iter().collect();
+        let order = std::mem::take(&mut self.order.jobs);
         let mut at = 0;
         while at < order.len() {
             let rank = order[at].0;
-            self.start_bound(rank, &mut slots, &mut usage, now);
+            self.start_bound(rank, &freed, &mut pass, now);
             while at < order.len() && order[at].0 == rank {
-                let name = order[at].2.clone();
-                self.place_job(&name, &mut slots, &mut usage, now);
+                self.place_job(&order[at].2, &mut pass, now);
                 at += 1;
             }
         }
+        self.start_bound(u8::MAX, &freed, &mut pass, now);
+        self.order.jobs = order;
     }
 
-    /// Bound tasks that waited past the age limit are drawn again.
-    fn unbind_aged(&mut self, now: f64) {
-        let age = self.params.policy.age_reports * self.params.report_s;
-        let unusable: Vec<Name> = self
-            .machines
-            .iter()
-            .filter(|(_, m)| !m.queue.is_empty() && !self.usable(m, now))
-            .map(|(n, _)| n.clone())
-            .collect();
-        let mut back = Vec::new();
-        for (name, m) in &mut self.machines {
-            // A queue at a machine that fell silent or leaves is no place to wait.
-            let stuck = unusable.contains(name);
-            // What room is being made for waits for it, while others save.
-            let making = m.holding().any(|(_, a)| a.stop.is_some());
-            m.queue.retain(|b| {
-                let young = now - b.since < 2.0 * age;
-                let keep = !stuck && (young || b.reserved && making);
-                if !keep {
-                    back.push(b.task.clone());
-                }
-                keep
-            });
-        }
-        for task in back {
-            if let Some(job) = self.jobs.get_mut(&task.job) {
-                job.bound = job.bound.saturating_sub(1);
-                job.push(task.index);
-            }
-        }
-    }
-
-    /// Starts bound tasks of this rank where there is room: the aged ones
-    /// first, then by smallest prediction.
-    fn start_bound(
-        &mut self,
-        rank: u8,
-        slots: &mut [Slot],
-        usage: &mut super::quota::Usage,
-        now: f64,
-    ) {
-        let age = self.params.policy.age_reports * self.params.report_s;
-        for slot in slots.iter_mut() {
-            let Some(m) = self.machines.get(&slot.name) else {
-                continue;
-            };
-            if m.queue.is_empty() {
-                continue;
-            }
-            let mut ready: Vec<Bound> =
-                m.queue.iter().filter(|b| b.rank == rank).cloned().collect();
-            ready.sort_by(|a, b| {
-                let aged = |x: &Bound| now - x.since >= age;
-                aged(b)
-                    .cmp(&aged(a))
-                    .then(b.reserved.cmp(&a.reserved))
-                    .then(a.predicted_s.total_cmp(&b.predicted_s))
-                    .then(a.since.total_cmp(&b.since))
-            });
-            for bound in ready {
-                let Some(job) = self.jobs.get(&bound.task.job) else {
-                    continue;
-                };
-                let spec = job.spec.clone();
-                let used = usage.get(&spec.team).copied().unwrap_or_default();
-                if !slot.fits(&spec)
-                    || !within_limit(self.team(&spec.team), used, &spec, 1.0)
-                    || !self.zone_ok(&bound.task.job, &slot.name)
-                {
-                    continue;
-                }
-                self.unqueue(&slot.name.clone(), &bound.task);
-                slot.queued = slot.queued.saturating_sub(1);
-                self.begin(slot, bound.task, &spec, usage, now);
-            }
-        }
-    }
-
-    fn zone_ok(&self, job: &str, machine: &str) -> bool {
-        let (Some(job), Some(m)) = (self.jobs.get(job), self.machines.get(machine)) else {
-            return false;
-        };
-        // With no task on a machine any zone is right for the first one.
-        if job.spec.one_zone && job.on.is_empty() {
-            return true;
-        }
-        self.zones(job, &[]).allows(&m.info.zone)
-    }
-
-    fn unqueue(&mut self, machine: &Name, task: &TaskId) {
-        if let Some(m) = self.machines.get_mut(machine) {
-            m.queue.retain(|b| b.task != *task);
-        }
-        if let Some(job) = self.jobs.get_mut(&task.job) {
-            job.bound = job.bound.saturating_sub(1);
-        }
-    }
-
-    fn begin(
+    /// Starts the task on the machine.
+    pub(super) fn begin(
         &mut self,
-        slot: &mut Slot,
+        machine: &Name,
         task: TaskId,
         spec: &JobSpec,
-        usage: &mut super::quota::Usage,
+        pass: &mut Pass,
         now: f64,
     ) {
-        tracing::debug!(job = %task.job, task = task.index, machine = %slot.name, term = self.term, "start");
-        slot.take(spec);
-        let used = usage.entry(spec.team.clone()).or_insert((0.0, 0.0));
-        used.0 += spec.cpus;
-        used.1 += spec.gpus;
-        self.start(&slot.name, task, now);
+        tracing::debug!(job = %task.job, task = task.index, machine = %machine, term = self.term, "start");
+        let team = self.team_at(&spec.team);
+        pass.usage.add(team, spec, 1.0);
+        self.start(machine, task, now);
+        self.reindex(machine);
     }
 
     /// Places what waits of one job.
-    fn place_job(
-        &mut self,
-        name: &Name,
-        slots: &mut [Slot],
-        usage: &mut super::quota::Usage,
-        now: f64,
-    ) {
-        let depth = self.params.policy.queue_depth;
-        let Some(spec) = self.jobs.get(name).map(|j| j.spec.clone()) else {
+    fn place_job(&mut self, name: &Name, pass: &mut Pass, now: f64) {
+        let Some(job) = self.jobs.get(name) else {
             return;
         };
+        if job.waiting() == 0 || job.not_before > now {
+            return;
+        }
+        let (spec, team) = (job.spec.clone(), job.team);
+        let by_zone = spec.one_zone || spec.spread;
+        let mut pools = None;
         loop {
             let Some(job) = self.jobs.get(name) else {
                 return;
@@ -345,31 +220,19 @@
             if job.waiting() == 0 {
                 return;
             }
-            let used = usage.get(&spec.team).copied().unwrap_or_default();
-            let allowed = within_limit(self.team(&spec.team), used, &spec, 1.0);
-            if !allowed && !self.team_has_less_urgent(&spec) {
+            let limit = self.team(team);
+            let allowed = within_limit(limit, pass.usage.of(team), &spec, 1.0);
+            if !allowed && !self.team_has_less_urgent(team, spec.urgency, pass) {
                 return;
             }
-            let zones = self.zones(job, slots);
-            let fitting: Vec<usize> = (0..slots.len())
-                .filter(|&i| {
-                    self.machines
-                        .get(&slots[i].name)
-                        .is_some_and(|m| self.allowed(&spec, m) && zones.allows(&m.info.zone))
-                })
-                .collect();
-            // A failed task should not meet the same machine again at once.
-            let fresh: Vec<usize> = fitting
-                .iter()
-                .copied()
-                .filter(|&i| !job.failed_on.contains(&slots[i].name))
-                .collect();
-            let fitting = if fresh.is_empty() { fitting } else { fresh };
-            let open: Vec<usize> = fitting
-                .iter()
-                .copied()
-                .filter(|&i| slots[i].fits(&spec))
-                .collect();
+            if by_zone || pools.is_none() {
+                let zones = self.zones(job);
+                let found = self
+                    .index
+                    .pools_for(&spec, &self.types, |z| zones.allows(z));
+                pools = Some(found);
+            }
+            let pools = pools.as_deref().unwrap_or_default();
             let Some(index) = self.jobs.get_mut(name).and_then(Job::pop) else {
                 return;
             };
@@ -377,96 +240,128 @@
                 job: name.clone(),
                 index,
             };
-            let open: Vec<usize> = open
-                .into_iter()
-                .filter(|&i| {
-                    // An attempt that is not forgotten yet would refuse it.
-                    self.machines
-                        .get(&slots[i].name)
-                        .is_some_and(|m| !m.knows(&task))
-                })
-                .collect();
-            let open = if allowed { open } else { Vec::new() };
-            if let Some(i) = self.draw(&open, slots, Some(&spec)) {
-                self.begin(&mut slots[i], task, &spec, usage, now);
-                continue;
+            if allowed {
+                if let Some(machine) = self.draw_open(&spec, &task, pools, now) {
+                    self.begin(&machine, task, &spec, pass, now);
+                    continue;
+                }
             }
-            let made = self.make_room(name, &fitting, slots, usage, now);
+            let made = self.make_room(name, pools, pass, now);
             let reserved = made.is_some();
             let joined = made.or_else(|| {
-                if !allowed {
-                    return None;
-                }
-                let short: Vec<usize> = fitting
-                    .iter()
-                    .copied()
-                    .filter(|&i| slots[i].queued < depth)
-                    .collect();
-                self.draw(&short, slots, None)
+                allowed
+                    .then(|| self.draw_short(&task, pools, now))
+                    .flatten()
             });
-            let Some(i) = joined else {
+            let Some(machine) = joined else {
                 if let Some(job) = self.jobs.get_mut(name) {
                     job.push(index);
                 }
                 return;
             };
-            self.bind(&mut slots[i], task, reserved, now);
+            if reserved {
+                pass.freeing = None;
+            }
+            self.bind(&machine, task, reserved, now);
         }
     }
 
     /// Whether the team has work on machines that is less urgent than this.
-    fn team_has_less_urgent(&self, spec: &JobSpec) -> bool {
-        self.jobs
-            .values()
-            .any(|j| !j.on.is_empty() && j.spec.team == spec.team && j.spec.urgency < spec.urgency)
+    fn team_has_less_urgent(&self, team: Option<usize>, urgency: Urgency, pass: &mut Pass) -> bool {
+        *pass.less_urgent.entry((team, urgency)).or_insert_with(|| {
+            self.jobs
+                .values()
+                .any(|j| j.team == team && j.spec.urgency < urgency && !j.on.is_empty())
+        })
     }
 
-    fn bind(&mut self, slot: &mut Slot, task: TaskId, reserved: bool, now: f64) {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return;
+    /// Samples among the machines with room and takes the best of the sample:
+    /// one that has the image, then the one with fewer bound waiting tasks,
+    /// then the tighter one, which leaves whole machines to large tasks.
+    fn draw_open(
+        &mut self,
+        spec: &JobSpec,
+        task: &TaskId,
+        pools: &[usize],
+        now: f64,
+    ) -> Option<Name> {
+        let need = Room::of_task(spec);
+        let n = self.index.roomy(pools, spec.cpus);
+        let picks = self.sample(n, task, pools, |core, at| {
+            let name = core.index.roomy_at(pools, spec.cpus, at)?;
+            let m = core.machines.get(name)?;
+            // An attempt that is not forgotten yet would refuse it.
+            let fits = m.free.holds(&need) && core.usable(m, now) && !m.knows(task);
+            fits.then(|| name.clone())
+        });
+        picks.into_iter().min_by(|a, b| {
+            let (a, b) = (&self.machines[a], &self.machines[b]);
+            b.has_image(&spec.image)
+                .cmp(&a.has_image(&spec.image))
+                .then(a.queue.len().cmp(&b.queue.len()))
+                .then(a.free.cpus.total_cmp(&b.free.cpus))
+        })
+    }
+
+    /// Samples among the machines with a place in their queue, and takes the
+    /// shorter queue.
+    fn draw_short(&mut self, task: &TaskId, pools: &[usize], now: f64) -> Option<Name> {
+        let n = self.index.short(pools);
+        let picks = self.sample(n, task, pools, |core, at| {
+            let name = core.index.short_at(pools, at)?;
+            let m = core.machines.get(name)?;
+            core.usable(m, now).then(|| name.clone())
+        });
+        picks.into_iter().min_by_key(|n| {
+            let m = &self.machines[n];
+            (m.queue.len(), n.clone())
+        })
+    }
+
+    /// Draws up to `sample` different machines out of `n` candidates that
+    /// `accept` lets pass; a machine on which a task of the job failed only if
+    /// it has failed on all.
+    fn sample(
+        &mut self,
+        n: usize,
+        task: &TaskId,
+        pools: &[usize],
+        accept: impl Fn(&Core, usize) -> Option<Name>,
+    ) -> Vec<Name> {
+        let want = self.params.policy.sample.min(n);
+        let mut picks: Vec<Name> = Vec::with_capacity(want);
+        if want == 0 {
+            return picks;
+        }
+        let failed = self.jobs.get(&task.job).map(|j| &j.failed_on).filter(|f| {
+            let usable: usize = pools.iter().map(|&p| self.index.pool(p).usable).sum();
+            !f.is_empty() && f.len() < usable
+        });
+        let good = |core: &Core, at: usize, picks: &[Name]| {
+            accept(core, at).filter(|m| !picks.contains(m) && failed.is_none_or(|f| !f.contains(m)))
         };
-        let (rank, predicted_s) = (self.precedence(job, now).0, self.predict(job));
-        if let Some(job) = self.jobs.get_mut(&task.job) {
-            job.bound += 1;
+        let mut rng = self.rng.clone();
+        for _ in 0..want * DRAWS {
+            if picks.len() == want {
+                break;
+            }
+            let at = rng.random_range(0..n);
+            picks.extend(good(self, at, &picks));
         }
-        slot.queued += 1;
-        if let Some(m) = self.machines.get_mut(&slot.name) {
-            m.queue.push(Bound {
-                task,
-                rank,
-                predicted_s,
-                since: now,
-                reserved,
-            });
+        if picks.is_empty() {
+            let from = rng.random_range(0..n);
+            for step in 0..n.min(SCAN) {
+                picks.extend(good(self, (from + step) % n, &picks));
+                if picks.len() == want {
+                    break;
+                }
+            }
         }
+        self.rng = rng;
+        picks
     }
 
-    /// Samples among the candidates and takes the best of the sample: one that
-    /// has the image, then the one with fewer bound waiting tasks, then the
-    /// tighter one, which leaves whole machines to large tasks.
-    fn draw(
-        &mut self,
-        candidates: &[usize],
-        slots: &[Slot],
-        spec: Option<&JobSpec>,
-    ) -> Option<usize> {
-        let amount = self.params.policy.sample.min(candidates.len());
-        if amount == 0 {
-            return None;
-        }
-        let picks = sample(&mut self.rng, candidates.len(), amount);
-        picks.into_iter().map(|p| candidates[p]).min_by(|&a, &b| {
-            let image = |i: usize| {
-                spec.is_some_and(|s| {
-                    self.machines
-                        .get(&slots[i].name)
-                        .is_some_and(|m| m.has_image(&s.image))
-                })
-            };
-            image(b)
-                .cmp(&image(a))
-                .then(slots[a].queued.cmp(&slots[b].queued))
-                .then(slots[a].cpus.total_cmp(&slots[b].cpus))
-        })
+    pub(super) fn may_use(&self, spec: &JobSpec, m: &Machine) -> bool {
+        may_use(spec, m, &self.types)
     }
 }
--- a/src/coordination/preempt.rs
+++ b/src/coordination/preempt.rs
@@ -1,14 +1,26 @@
 //! Making room: work of lower priority yields, and work that others borrowed
 //! yields to a guarantee; what loses least is stopped first.
+//!
+//! Only a bounded number of machines is weighed for a task: those where work
+//! is being stopped already, then some of those that run the work whose loss
+//! is cheapest.
 
 use super::core::Core;
-use super::job::{Job, TaskId};
-use super::place::Slot;
+use super::job::{Job, Name, TaskId};
+use super::place::Pass;
 use super::quota::{within_limit, Usage};
+use super::room::Room;
 use crate::protocol::job::{JobSpec, Urgency};
+use rand::Rng;
+use std::collections::HashMap;
+
+/// Most machines weighed for one task.
+const WEIGHED: usize = 16;
+/// Most of them for one victim job, so that several jobs are compared.
+const PER_JOB: usize = 4;
 
 /// A way to make room: what it loses, the machine, what is stopped.
-type Plan = (f64, usize, Vec<((TaskId, u64), f64)>);
+type Plan = (f64, Name, Vec<((TaskId, u64), f64)>);
 
 /// What stopping the attempt would lose, in CPU seconds, and the grace to stop
 /// it with. Work that can save does so unless saving takes longer than what it
@@ -27,24 +39,24 @@
     }
 }
 
-impl Core {
-    /// How much dearer stopping work of this job is than stopping idle work: a
-    /// guarantee may take from anyone, but should take from the least urgent,
-    /// and first from what is late anyway.
-    fn dearness(&self, victim: &Job, now: f64) -> f64 {
-        let urgency = match victim.spec.urgency {
-            Urgency::Idle => 1.0,
-            Urgency::Standard => 4.0,
-            Urgency::High => 16.0,
-            Urgency::Prod => 64.0,
-        };
-        if self.pressed(victim, now) {
-            urgency
-        } else {
-            urgency / 16.0
-        }
+/// How much dearer stopping work of this job is than stopping idle work: a
+/// guarantee may take from anyone, but should take from the least urgent, and
+/// first from what is late anyway.
+pub(super) fn dearness(victim: &Job) -> f64 {
+    let urgency = match victim.spec.urgency {
+        Urgency::Idle => 1.0,
+        Urgency::Standard => 4.0,
+        Urgency::High => 16.0,
+        Urgency::Prod => 64.0,
+    };
+    if victim.pressed {
+        urgency
+    } else {
+        urgency / 16.0
     }
+}
 
+impl Core {
     /// Whether `job` may stop a task of `victim`.
     fn may_stop(&self, job: &Job, victim: &Job, usage: &Usage) -> bool {
         if victim.spec.urgency < job.spec.urgency && job.spec.urgency > Urgency::Idle {
@@ -53,123 +65,224 @@
             // it from the first, and so on in a circle.
             return !victim.guaranteed || job.guaranteed;
         }
-        if !job.guaranteed || victim.guaranteed || victim.spec.team == job.spec.team {
+        if !job.guaranteed || victim.guaranteed || victim.team == job.team {
             return false;
         }
-        let used = usage.get(&victim.spec.team).copied().unwrap_or_default();
-        self.team(&victim.spec.team)
+        let used = usage.of(victim.team);
+        self.team(victim.team)
             .is_some_and(|t| used.0 > t.cpus + 1e-6 || used.1 > t.gpus + 1e-6)
     }
 
+    /// Whether `victim` may be stopped; if the team's limit is what lacks, only
+    /// the team's own work frees it.
+    fn yields(&self, job: &Job, victim: &Job, lacking: bool, usage: &Usage) -> bool {
+        if lacking {
+            victim.team == job.team && victim.spec.urgency < job.spec.urgency
+        } else {
+            self.may_stop(job, victim, usage)
+        }
+    }
+
     /// Whether the team's limit leaves no room for one more task, counting
     /// what is being stopped as free and what waits for it as taken.
-    fn lacking_quota(&self, spec: &JobSpec, usage: &Usage) -> bool {
-        let mut used = usage.get(&spec.team).copied().unwrap_or_default();
-        for m in self.machines.values() {
-            for (key, _) in m.holding().filter(|(_, a)| a.stop.is_some()) {
-                if let Some(j) = self.jobs.get(&key.0.job) {
-                    if j.spec.team == spec.team {
-                        used.0 -= j.spec.cpus;
-                        used.1 -= j.spec.gpus;
-                    }
-                }
-            }
-            for bound in m.queue.iter().filter(|b| b.reserved) {
-                if let Some(j) = self.jobs.get(&bound.task.job) {
-                    if j.spec.team == spec.team {
-                        used.0 += j.spec.cpus;
-                        used.1 += j.spec.gpus;
-                    }
-                }
+    fn lacking_quota(&mut self, team: Option<usize>, spec: &JobSpec, pass: &mut Pass) -> bool {
+        let Some(limit) = self.team(team).cloned() else {
+            return true;
+        };
+        if limit.cpus_max <= 0.0 && limit.gpus_max <= 0.0 {
+            return false;
+        }
+        if pass.freeing.is_none() {
+            pass.freeing = Some(self.freeing());
+        }
+        let freed = pass
+            .freeing
+            .as_ref()
+            .and_then(|f| f.get(&team?).copied())
+            .unwrap_or_default();
+        let used = pass.usage.of(team);
+        !within_limit(
+            Some(&limit),
+            (used.0 - freed.0, used.1 - freed.1),
+            spec,
+            1.0,
+        )
+    }
+
+    /// What each team's stopped work will free, less what waits for it.
+    fn freeing(&mut self) -> HashMap<usize, (f64, f64)> {
+        self.prune_stopping();
+        let mut sums: HashMap<usize, (f64, f64)> = HashMap::new();
+        let stopped = self.stopping.iter().map(|(_, (task, _))| (task, 1.0));
+        let bound = self
+            .queued
+            .iter()
+            .filter_map(|n| self.machines.get(n))
+            .flat_map(|m| m.queue.iter().filter(|b| b.reserved))
+            .map(|b| (&b.task, -1.0));
+        for (task, sign) in stopped.chain(bound) {
+            let Some(job) = self.jobs.get(&task.job) else {
+                continue;
+            };
+            if let Some(team) = job.team {
+                let sum = sums.entry(team).or_default();
+                sum.0 += sign * job.spec.cpus;
+                sum.1 += sign * job.spec.gpus;
             }
         }
-        !within_limit(self.team(&spec.team), used, spec, 1.0)
+        sums
     }
 
-    /// Stops tasks on one of the machines so that a task of the job fits, and
-    /// names that machine.
+    /// Forgets stops that have had their effect.
+    pub(super) fn prune_stopping(&mut self) {
+        let machines = &self.machines;
+        self.stopping.retain(|(machine, key)| {
+            machines
+                .get(machine)
+                .and_then(|m| m.active.get(key))
+                .is_some_and(|a| a.stop.is_some() && !a.exited())
+        });
+    }
+
+    /// Stops tasks on a machine so that a task of the job fits, and names that
+    /// machine.
     pub(super) fn make_room(
         &mut self,
         name: &str,
-        fitting: &[usize],
-        slots: &mut [Slot],
-        usage: &mut Usage,
+        pools: &[usize],
+        pass: &mut Pass,
         now: f64,
-    ) -> Option<usize> {
+    ) -> Option<Name> {
         let job = self.jobs.get(name)?;
-        if job.spec.urgency == Urgency::Idle && !job.guaranteed {
+        if job.spec.urgency == Urgency::Idle && !job.guaranteed || !job.pressed {
             return None;
         }
-        if !self.pressed(job, now) {
+        let (spec, team) = (job.spec.clone(), job.team);
+        let kind = (team, spec.urgency, job.guaranteed, spec.cpus.to_bits());
+        if pass.hopeless.contains(&kind) || pools.is_empty() {
             return None;
         }
-        let spec = job.spec.clone();
-        let at_once = spec.urgency >= Urgency::High || job.guaranteed;
-        let lacking = self.lacking_quota(&spec, usage);
+        let lacking = self.lacking_quota(team, &spec, pass);
+        let Some((_, machine, chosen)) = self.cheapest(name, lacking, pass, now) else {
+            pass.hopeless.insert(kind);
+            return None;
+        };
+        for (key, grace) in chosen {
+            tracing::info!(task = %key.0.wire(), machine = %machine, for_job = name, "stopped to make room");
+            self.stop(&machine, &key, grace);
+        }
+        pass.freeing = None;
+        Some(machine)
+    }
+
+    /// The cheapest of the plans weighed.
+    fn cheapest(&mut self, name: &str, lacking: bool, pass: &Pass, now: f64) -> Option<Plan> {
+        self.prune_stopping();
+        let start: usize = self.rng.random_range(0..1 << 16);
+        let job = self.jobs.get(name)?;
+        let zones = self.zones(job);
+        let mut seen: Vec<Name> = Vec::new();
         let mut best: Option<Plan> = None;
-        for &i in fitting {
-            let Some(m) = self.machines.get(&slots[i].name) else {
+        let weigh = |machine: &Name, seen: &mut Vec<Name>, best: &mut Option<Plan>| {
+            if seen.contains(machine) {
+                return;
+            }
+            seen.push(machine.clone());
+            let plan = self.plan_at(machine, job, &zones, lacking, pass, now);
+            if let Some(plan) = plan {
+                if best.as_ref().is_none_or(|b| plan.0 < b.0) {
+                    *best = Some(plan);
+                }
+            }
+        };
+        for (machine, _) in &self.stopping {
+            if seen.len() >= WEIGHED / 2 {
+                break;
+            }
+            weigh(machine, &mut seen, &mut best);
+        }
+        if best.as_ref().is_some_and(|b| b.0 <= 0.0) {
+            return best;
+        }
+        let mut dear = 0.0;
+        for (dearness, victim) in &self.order.victims {
+            // A dearer job is not worth a look once there is a plan.
+            if seen.len() >= 2 * WEIGHED || best.is_some() && *dearness > dear {
+                break;
+            }
+            let Some(victim) = self.jobs.get(victim) else {
                 continue;
             };
-            // Room that is being made here is spoken for.
-            let mut room = slots[i].clone();
-            for bound in m.queue.iter().filter(|b| b.reserved) {
-                if let Some(j) = self.jobs.get(&bound.task.job) {
-                    room.take(&j.spec);
-                }
+            if victim.on.is_empty() || !self.yields(job, victim, lacking, &pass.usage) {
+                continue;
             }
-            let mut victims = Vec::new();
-            for (key, active) in m.holding() {
-                let Some(victim) = self.jobs.get(&key.0.job) else {
-                    continue;
-                };
-                if active.stop.is_some() {
-                    room.give(&victim.spec);
-                    continue;
-                }
-                let yields = if lacking {
-                    // Only its own team's work frees the team's limit.
-                    victim.spec.team == spec.team && victim.spec.urgency < spec.urgency
-                } else {
-                    self.may_stop(job, victim, usage)
-                };
-                if yields {
-                    let ran = active.running.map_or(0.0, |t| now - t);
-                    let (lost, grace) = loss(&victim.spec, ran, at_once);
-                    let lost = (lost + victim.spec.cpus) * self.dearness(victim, now);
-                    victims.push((lost, (key.clone(), grace), victim.spec.clone()));
-                }
+            dear = *dearness;
+            let from = (start % victim.spec.tasks.max(1) as usize) as u32;
+            let on = victim.on.range(from..).chain(victim.on.range(..from));
+            for (_, (machine, _)) in on.take(PER_JOB) {
+                weigh(machine, &mut seen, &mut best);
             }
-            victims.sort_by(|a, b| a.0.total_cmp(&b.0));
-            let mut cost = 0.0;
-            let mut chosen = Vec::new();
-            let (mut cpus, mut gpus) = (0.0, 0.0);
-            let mut done = |room: &Slot, victim: Option<&JobSpec>| {
-                if let Some(v) = victim {
-                    cpus += v.cpus;
-                    gpus += v.gpus;
-                }
-                room.fits(&spec) && (!lacking || cpus >= spec.cpus && gpus >= spec.gpus)
+        }
+        best
+    }
+
+    /// What would have to be stopped on this machine for a task of the job.
+    fn plan_at(
+        &self,
+        machine: &Name,
+        job: &Job,
+        zones: &super::place::Zones,
+        lacking: bool,
+        pass: &Pass,
+        now: f64,
+    ) -> Option<Plan> {
+        let m = self.machines.get(machine)?;
+        let spec = &job.spec;
+        let open = self.usable(m, now) && self.may_use(spec, m) && zones.allows(&m.info.zone);
+        if !open || job.failed_on.contains(machine) {
+            return None;
+        }
+        let at_once = spec.urgency >= Urgency::High || job.guaranteed;
+        let need = Room::of_task(spec);
+        // Room that is being made here is spoken for.
+        let mut room = m.free;
+        for bound in m.queue.iter().filter(|b| b.reserved) {
+            if let Some(j) = self.jobs.get(&bound.task.job) {
+                room.take(&Room::of_task(&j.spec));
+            }
+        }
+        let mut victims = Vec::new();
+        for (key, active) in m.holding() {
+            let Some(victim) = self.jobs.get(&key.0.job) else {
+                continue;
             };
-            let mut enough = done(&room, None);
-            for (loss_s, key, victim) in victims {
-                if enough {
-                    break;
-                }
-                room.give(&victim);
-                enough = done(&room, Some(&victim));
-                cost += loss_s;
-                chosen.push(key);
+            if active.stop.is_some() {
+                room.give(&active.holds);
+                continue;
             }
-            if enough && best.as_ref().is_none_or(|b| cost < b.0) {
-                best = Some((cost, i, chosen));
+            if self.yields(job, victim, lacking, &pass.usage) {
+                let ran = active.running.map_or(0.0, |t| now - t);
+                let (lost, grace) = loss(&victim.spec, ran, at_once);
+                let lost = (lost + victim.spec.cpus) * dearness(victim);
+                victims.push((lost, (key.clone(), grace), active.holds));
             }
         }
-        let (_, i, chosen) = best?;
-        for (key, grace) in chosen {
-            tracing::info!(task = %key.0.wire(), machine = %slots[i].name, for_job = name, "stopped to make room");
-            self.stop(&slots[i].name.clone(), &key, grace);
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut cost = 0.0;
+        let mut chosen = Vec::new();
+        let mut freed = Room::default();
+        let enough = |room: &Room, freed: &Room| {
+            room.holds(&need) && (!lacking || freed.cpus >= need.cpus && freed.gpus >= need.gpus)
+        };
+        for (loss_s, key, held) in victims {
+            if enough(&room, &freed) {
+                break;
+            }
+            room.give(&held);
+            freed.give(&held);
+            cost += loss_s;
+            chosen.push(key);
         }
-        Some(i)
+        enough(&room, &freed).then(|| (cost, machine.clone(), chosen))
     }
 }
--- /dev/null
+++ b/src/coordination/queue.rs
@@ -0,0 +1,161 @@
+//! The short queues at machines: what binds, what starts when room comes, and
+//! what is drawn again.
+
+use super::core::Core;
+use super::job::{Name, TaskId};
+use super::machine::Bound;
+use super::place::Pass;
+use super::quota::within_limit;
+use super::room::Room;
+
+impl Core {
+    /// Age from which on a bound task starts next; at twice that it is redrawn.
+    fn age_s(&self) -> f64 {
+        self.params.policy.age_reports * self.params.report_s
+    }
+
+    /// Puts a task into a machine's queue.
+    pub(super) fn bind(&mut self, machine: &Name, task: TaskId, reserved: bool, now: f64) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let (rank, predicted_s) = (self.precedence(job, now).0, self.predict(job));
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.bound.insert(task.index, machine.clone());
+        }
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.queue.push(Bound {
+                task,
+                rank,
+                predicted_s,
+                since: now,
+                reserved,
+            });
+        }
+        self.queued.insert(machine.clone());
+        self.reindex(machine);
+    }
+
+    /// Takes a task out of whatever queue it is bound to.
+    pub(super) fn unbind(&mut self, task: &TaskId) {
+        let job = self.jobs.get_mut(&task.job);
+        let Some(machine) = job.and_then(|j| j.bound.remove(&task.index)) else {
+            return;
+        };
+        if let Some(m) = self.machines.get_mut(&machine) {
+            m.queue.retain(|b| b.task != *task);
+        }
+        self.reindex(&machine);
+    }
+
+    /// Empties a machine's queue; its tasks wait unbound again.
+    pub(super) fn unbind_all(&mut self, machine: &str) {
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
+        for bound in std::mem::take(&mut m.queue) {
+            if let Some(job) = self.jobs.get_mut(&bound.task.job) {
+                job.bound.remove(&bound.task.index);
+                job.push(bound.task.index);
+            }
+        }
+        self.queued.remove(machine);
+        self.reindex(machine);
+    }
+
+    /// Bound tasks that waited past the age limit are drawn again, those at a
+    /// machine that fell silent or leaves at once.
+    pub(super) fn unbind_aged(&mut self, now: f64) {
+        let age = self.age_s();
+        // Ages are in report intervals, so a quarter of one is often enough.
+        if now - self.aged_at < self.params.report_s / 4.0 {
+            return;
+        }
+        self.aged_at = now;
+        for name in self.queued.clone() {
+            let Some(m) = self.machines.get(&name) else {
+                self.queued.remove(&name);
+                continue;
+            };
+            let stuck = !self.usable(m, now);
+            // What room is being made for waits for it, while others save.
+            let making = m.holding().any(|(_, a)| a.stop.is_some());
+            let old: Vec<TaskId> = m
+                .queue
+                .iter()
+                .filter(|b| {
+                    let young = now - b.since < 2.0 * age;
+                    stuck || !(young || b.reserved && making)
+                })
+                .map(|b| b.task.clone())
+                .collect();
+            if m.queue.len() == old.len() {
+                self.queued.remove(&name);
+            } else {
+                // A limit may have got room meanwhile.
+                self.freed.insert(name.clone());
+            }
+            for task in old {
+                self.unbind(&task);
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.push(task.index);
+                }
+            }
+        }
+    }
+
+    /// Starts bound tasks up to this rank where room came free: the aged ones
+    /// first, then by smallest prediction.
+    pub(super) fn start_bound(&mut self, rank: u8, freed: &[Name], pass: &mut Pass, now: f64) {
+        let age = self.age_s();
+        for name in freed {
+            let Some(m) = self.machines.get(name) else {
+                continue;
+            };
+            if m.queue.is_empty() || !self.usable(m, now) {
+                continue;
+            }
+            let mut ready: Vec<Bound> =
+                m.queue.iter().filter(|b| b.rank <= rank).cloned().collect();
+            ready.sort_by(|a, b| {
+                let aged = |x: &Bound| now - x.since >= age;
+                a.rank
+                    .cmp(&b.rank)
+                    .then(aged(b).cmp(&aged(a)))
+                    .then(b.reserved.cmp(&a.reserved))
+                    .then(a.predicted_s.total_cmp(&b.predicted_s))
+                    .then(a.since.total_cmp(&b.since))
+            });
+            for bound in ready {
+                let Some(job) = self.jobs.get(&bound.task.job) else {
+                    continue;
+                };
+                let (spec, team) = (job.spec.clone(), job.team);
+                let limit = self.team(team);
+                let room = self
+                    .machines
+                    .get(name)
+                    .is_some_and(|m| m.free.holds(&Room::of_task(&spec)));
+                if !room
+                    || !within_limit(limit, pass.usage.of(team), &spec, 1.0)
+                    || !self.zone_ok(&bound.task.job, name)
+                {
+                    continue;
+                }
+                self.unbind(&bound.task);
+                self.begin(name, bound.task, &spec, pass, now);
+            }
+        }
+    }
+
+    fn zone_ok(&self, job: &str, machine: &str) -> bool {
+        let (Some(job), Some(m)) = (self.jobs.get(job), self.machines.get(machine)) else {
+            return false;
+        };
+        // With no task on a machine any zone is right for the first one.
+        if job.spec.one_zone && job.on.is_empty() {
+            return true;
+        }
+        self.zones(job).allows(&m.info.zone)
+    }
+}
--- a/src/coordination/quota.rs
+++ b/src/coordination/quota.rs
@@ -4,10 +4,42 @@
 use super::job::Name;
 use crate::protocol::job::JobSpec;
 use crate::protocol::settings::Team;
-use std::collections::HashMap;
 
-/// CPUs and GPUs in use by team.
-pub type Usage = HashMap<String, (f64, f64)>;
+/// CPUs and GPUs in use, by the team's place in the settings.
+#[derive(Debug, Clone, Default)]
+pub struct Usage {
+    teams: Vec<(f64, f64)>,
+    /// Of jobs whose team the settings do not name any more.
+    other: (f64, f64),
+}
+
+impl Usage {
+    /// What the team uses.
+    pub fn of(&self, team: Option<usize>) -> (f64, f64) {
+        match team {
+            Some(team) => self.teams.get(team).copied().unwrap_or_default(),
+            None => self.other,
+        }
+    }
+    /// Adds `n` tasks of the job.
+    pub fn add(&mut self, team: Option<usize>, spec: &JobSpec, n: f64) {
+        let used = match team {
+            Some(team) => {
+                if self.teams.len() <= team {
+                    self.teams.resize(team + 1, (0.0, 0.0));
+                }
+                &mut self.teams[team]
+            }
+            None => &mut self.other,
+        };
+        used.0 += n * spec.cpus;
+        used.1 += n * spec.gpus;
+    }
+    /// CPUs that all use together.
+    pub fn cpus(&self) -> f64 {
+        self.teams.iter().map(|u| u.0).sum::<f64>() + self.other.0
+    }
+}
 
 /// Whether the team may use this much more.
 pub fn within_limit(team: Option<&Team>, used: (f64, f64), spec: &JobSpec, tasks: f64) -> bool {
@@ -19,46 +51,50 @@
 }
 
 impl Core {
-    /// The team of this name.
-    pub(super) fn team(&self, name: &str) -> Option<&Team> {
-        self.params.teams.iter().find(|t| t.name == name)
+    /// Place of the team of this name in the settings.
+    pub(super) fn team_at(&self, name: &str) -> Option<usize> {
+        self.params.teams.iter().position(|t| t.name == name)
+    }
+
+    /// The team at this place.
+    pub(super) fn team(&self, at: Option<usize>) -> Option<&Team> {
+        at.and_then(|t| self.params.teams.get(t))
     }
 
     /// Everything that is on a machine or may be: sent, fetching, running,
-    /// saving, out of sight.
+    /// saving, out of sight. Counted anew from the jobs, so that it cannot
+    /// wander from them.
     pub fn usage(&self) -> Usage {
-        let mut usage = Usage::new();
-        for job in self.jobs.values() {
-            if job.on.is_empty() {
-                continue;
-            }
-            let n = job.on.len() as f64;
-            let used = usage.entry(job.spec.team.clone()).or_insert((0.0, 0.0));
-            used.0 += n * job.spec.cpus;
-            used.1 += n * job.spec.gpus;
+        let mut usage = Usage::default();
+        for job in self.jobs.values().filter(|j| !j.on.is_empty()) {
+            usage.add(job.team, &job.spec, job.on.len() as f64);
         }
         usage
     }
 
+    /// Machines in use, their CPUs, and how many of these are free.
+    pub fn capacity(&self) -> (usize, f64, f64) {
+        let mut sum = (0, 0.0, 0.0);
+        for m in self.machines.values().filter(|m| m.indexed) {
+            sum.0 += 1;
+            sum.1 += self.types.get(&m.info.kind).map_or(0.0, |t| t.cpus);
+            sum.2 += m.free.cpus;
+        }
+        sum
+    }
+
     /// One line on load: machines, CPUs held by class, what waits.
-    pub fn summary(&self, now: f64) -> String {
+    pub fn summary(&self) -> String {
         let mut held: std::collections::BTreeMap<&str, (f64, u32)> = Default::default();
         for job in self.jobs.values().filter(|j| !j.over) {
             let entry = held.entry(&job.spec.class).or_default();
             entry.0 += job.on.len() as f64 * job.spec.cpus;
-            entry.1 += job.waiting() + job.bound;
+            entry.1 += job.lacking();
         }
-        let slots = self.slots(now);
-        let free: f64 = slots.iter().map(|s| s.cpus).sum();
-        let all: f64 = slots
-            .iter()
-            .filter_map(|s| self.types.get(&self.machines.get(&s.name)?.info.kind))
-            .map(|t| t.cpus)
-            .sum();
+        let (usable, all, free) = self.capacity();
         let mut line = format!(
-            "machines={} usable={} cpus={all} free={free}",
+            "machines={} usable={usable} cpus={all} free={free}",
             self.machines.len(),
-            slots.len()
         );
         for (class, (cpus, waiting)) in held {
             line.push_str(&format!(" {class}={cpus}+{waiting}"));
@@ -69,12 +105,8 @@
     /// A job is within its team's guarantee if it fits into it together with
     /// the team's earlier unfinished jobs.
     pub(super) fn judge_guarantees(&mut self) {
-        if self
-            .params
-            .teams
-            .iter()
-            .all(|t| t.cpus <= 0.0 && t.gpus <= 0.0)
-        {
+        let none = |t: &Team| t.cpus <= 0.0 && t.gpus <= 0.0;
+        if self.params.teams.iter().all(none) {
             return;
         }
         let mut order: Vec<(f64, Name)> = self
@@ -84,22 +116,16 @@
             .map(|(n, j)| (j.at, n.clone()))
             .collect();
         order.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
-        let mut sums: HashMap<String, (f64, f64)> = HashMap::new();
-        let teams = self.params.teams.clone();
+        let mut sums = Usage::default();
         for (_, name) in order {
             let Some(job) = self.jobs.get_mut(&name) else {
                 continue;
             };
-            let n = f64::from(job.spec.tasks);
-            let sum = sums.entry(job.spec.team.clone()).or_insert((0.0, 0.0));
-            sum.0 += n * job.spec.cpus;
-            sum.1 += n * job.spec.gpus;
-            job.guaranteed = teams.iter().any(|t| {
-                t.name == job.spec.team
-                    && (t.cpus > 0.0 || t.gpus > 0.0)
-                    && (sum.0 <= t.cpus + 1e-6)
-                    && (sum.1 <= t.gpus + 1e-6)
-            });
+            sums.add(job.team, &job.spec, f64::from(job.spec.tasks));
+            let sum = sums.of(job.team);
+            let team = job.team.and_then(|t| self.params.teams.get(t));
+            job.guaranteed =
+                team.is_some_and(|t| !none(t) && sum.0 <= t.cpus + 1e-6 && sum.1 <= t.gpus + 1e-6);
         }
     }
 }
--- /dev/null
+++ b/src/coordination/room.rs
@@ -0,0 +1,241 @@
+//! Room on machines, and an index of them by it, so that placing a task looks
+//! at a few machines and not at all of them.
+
+use super::job::Name;
+use super::machine::Machine;
+use crate::protocol::cloud::MachineType;
+use crate::protocol::job::JobSpec;
+use crate::storage::records::{fits_type, MachineInfo};
+use std::collections::HashMap;
+
+/// Amounts of what tasks take.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Room {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+impl Room {
+    /// All of a machine of this type.
+    pub fn of_type(kind: &MachineType) -> Room {
+        Room {
+            cpus: kind.cpus,
+            gpus: kind.gpus,
+            memory_gb: kind.memory_gb,
+        }
+    }
+    /// What a task of the job takes.
+    pub fn of_task(spec: &JobSpec) -> Room {
+        Room {
+            cpus: spec.cpus,
+            gpus: spec.gpus,
+            memory_gb: spec.memory_gb,
+        }
+    }
+    /// Whether `need` fits into it; sums of decimals are off by a little.
+    pub fn holds(&self, need: &Room) -> bool {
+        const E: f64 = 1e-6;
+        need.cpus <= self.cpus + E
+            && need.gpus <= self.gpus + E
+            && need.memory_gb <= self.memory_gb + E
+    }
+    pub fn take(&mut self, other: &Room) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.memory_gb -= other.memory_gb;
+    }
+    pub fn give(&mut self, other: &Room) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.memory_gb += other.memory_gb;
+    }
+}
+
+/// Machines alike to every job: one type, zone and kind of rental.
+#[derive(Debug)]
+pub(super) struct Pool {
+    pub kind: String,
+    pub zone: String,
+    pub spot: bool,
+    /// Usable machines by whole free CPUs.
+    by_room: Vec<Vec<Name>>,
+    /// Usable machines with a place in their queue.
+    short: Vec<Name>,
+    /// Usable machines.
+    pub usable: usize,
+}
+
+/// Where the index has a machine.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    pool: usize,
+    bucket: usize,
+    at: usize,
+    short: Option<usize>,
+}
+
+/// Buckets of free CPUs; what has more is in the last.
+const BUCKETS: usize = 257;
+
+fn bucket(cpus: f64) -> usize {
+    ((cpus + 1e-6).max(0.0) as usize).min(BUCKETS - 1)
+}
+
+/// The index.
+#[derive(Debug, Default)]
+pub struct Index {
+    pools: Vec<Pool>,
+    places: HashMap<Name, Place>,
+}
+
+impl Index {
+    /// Takes a machine out.
+    pub(super) fn remove(&mut self, name: &str) {
+        let Some(place) = self.places.remove(name) else {
+            return;
+        };
+        let pool = &mut self.pools[place.pool];
+        pool.usable -= 1;
+        let bucket = &mut pool.by_room[place.bucket];
+        bucket.swap_remove(place.at);
+        if let Some(p) = bucket.get(place.at).and_then(|n| self.places.get_mut(n)) {
+            p.at = place.at;
+        }
+        if let Some(at) = place.short {
+            pool.short.swap_remove(at);
+            if let Some(p) = pool.short.get(at).and_then(|n| self.places.get_mut(n)) {
+                p.short = Some(at);
+            }
+        }
+    }
+
+    /// Puts a usable machine where it belongs now.
+    pub(super) fn put(&mut self, name: &Name, info: &MachineInfo, free_cpus: f64, short: bool) {
+        if let Some(place) = self.places.get(name) {
+            if place.bucket == bucket(free_cpus) && place.short.is_some() == short {
+                return;
+            }
+        }
+        self.remove(name);
+        let found = self
+            .pools
+            .iter()
+            .position(|p| p.kind == info.kind && p.zone == info.zone && p.spot == info.spot);
+        let at = found.unwrap_or_else(|| {
+            self.pools.push(Pool {
+                kind: info.kind.clone(),
+                zone: info.zone.clone(),
+                spot: info.spot,
+                by_room: Vec::new(),
+                short: Vec::new(),
+                usable: 0,
+            });
+            self.pools.len() - 1
+        });
+        let pool = &mut self.pools[at];
+        let bucket = bucket(free_cpus);
+        if pool.by_room.len() <= bucket {
+            pool.by_room.resize_with(bucket + 1, Vec::new);
+        }
+        pool.usable += 1;
+        pool.by_room[bucket].push(name.clone());
+        let place = Place {
+            pool: at,
+            bucket,
+            at: pool.by_room[bucket].len() - 1,
+            short: short.then_some(pool.short.len()),
+        };
+        if short {
+            pool.short.push(name.clone());
+        }
+        self.places.insert(name.clone(), place);
+    }
+
+    /// The pools that the job may use at all.
+    pub(super) fn pools_for(
+        &self,
+        spec: &JobSpec,
+        types: &HashMap<String, MachineType>,
+        zone_ok: impl Fn(&str) -> bool,
+    ) -> Vec<usize> {
+        let fits = |p: &Pool| {
+            p.usable > 0 && allowed(spec, &p.kind, &p.zone, p.spot, types) && zone_ok(&p.zone)
+        };
+        (0..self.pools.len())
+            .filter(|&i| fits(&self.pools[i]))
+            .collect()
+    }
+
+    pub(super) fn pool(&self, at: usize) -> &Pool {
+        &self.pools[at]
+    }
+
+    /// How many machines of the pools may have this many CPUs free.
+    pub(super) fn roomy(&self, pools: &[usize], cpus: f64) -> usize {
+        let least = bucket(cpus);
+        pools
+            .iter()
+            .flat_map(|&p| self.pools[p].by_room.iter().skip(least))
+            .map(Vec::len)
+            .sum()
+    }
+
+    /// The `n`th of those.
+    pub(super) fn roomy_at(&self, pools: &[usize], cpus: f64, mut n: usize) -> Option<&Name> {
+        let least = bucket(cpus);
+        for &p in pools {
+            for bucket in self.pools[p].by_room.iter().skip(least) {
+                if n < bucket.len() {
+                    return bucket.get(n);
+                }
+                n -= bucket.len();
+            }
+        }
+        None
+    }
+
+    /// Whole free CPUs of a pool's machines that have at least this many.
+    pub(super) fn free_cpus(&self, pool: usize, cpus: f64) -> usize {
+        let buckets = self.pools[pool].by_room.iter().enumerate();
+        buckets
+            .skip(bucket(cpus))
+            .map(|(room, names)| (room + 1) * names.len())
+            .sum()
+    }
+
+    /// How many machines of the pools have a place in their queue.
+    pub(super) fn short(&self, pools: &[usize]) -> usize {
+        pools.iter().map(|&p| self.pools[p].short.len()).sum()
+    }
+
+    /// The `n`th of those.
+    pub(super) fn short_at(&self, pools: &[usize], mut n: usize) -> Option<&Name> {
+        for &p in pools {
+            let short = &self.pools[p].short;
+            if n < short.len() {
+                return short.get(n);
+            }
+            n -= short.len();
+        }
+        None
+    }
+}
+
+/// Whether the job may use such a machine at all, apart from room.
+fn allowed(
+    spec: &JobSpec,
+    kind: &str,
+    zone: &str,
+    spot: bool,
+    types: &HashMap<String, MachineType>,
+) -> bool {
+    (spec.spot || !spot)
+        && spec.zone.as_ref().is_none_or(|z| z == zone)
+        && types.get(kind).is_some_and(|t| fits_type(spec, t))
+}
+
+/// Whether the job may use the machine at all, apart from room.
+pub(super) fn may_use(spec: &JobSpec, m: &Machine, types: &HashMap<String, MachineType>) -> bool {
+    allowed(spec, &m.info.kind, &m.info.zone, m.info.spot, types)
+}
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -4,7 +4,8 @@
 use super::core::{with_margin, Core};
 use super::job::{Name, TaskId};
 use super::machine::{Active, Machine, Standing};
-use crate::protocol::worker::{Cause, Command, Direct, Phase, Reply, Report};
+use super::room::Room;
+use crate::protocol::worker::{Cause, Command, Direct, Phase, Reply, Report, ReportHead};
 use crate::storage::records::MachineInfo;
 use std::collections::BTreeSet;
 
@@ -47,8 +48,47 @@
 }
 
 impl Core {
+    /// Whether the report says just what the one before said and there is
+    /// nothing to tell the worker; then it is taken in, and the answer is our
+    /// term and no command. Most reports of a large fleet are like this.
+    pub fn repeats(&mut self, head: &ReportHead, now: f64) -> bool {
+        let Some(m) = self.machines.get_mut(head.machine.as_str()) else {
+            return false;
+        };
+        let same = m.standing == Standing::Up
+            && m.fenced
+            && m.recorded
+            && m.strangers == 0
+            && m.indexed
+            && m.notice_at.is_none()
+            && head.notice_s.is_none()
+            && head.token == m.token
+            && head.token <= self.term
+            && head.session == m.seen.0
+            && head.seq > m.seen.1
+            && head.addr == m.info.addr
+            && m.repeated.as_deref() == Some(head.tasks.get());
+        if same {
+            self.now = now;
+            m.seen.1 = head.seq;
+            m.heard = now;
+            m.answered = Some(now);
+        }
+        same
+    }
+
+    /// Remembers the report's task list if the same one again would tell
+    /// nothing, and call for no command.
+    pub fn remember(&mut self, machine: &str, order: (u64, u64), tasks: &str) {
+        if let Some(m) = self.machines.get_mut(machine) {
+            let plain = m.seen == order && m.active.values().all(Active::settled);
+            m.repeated = plain.then(|| tasks.into());
+        }
+    }
+
     /// Takes in a report and says what to answer.
     pub fn hello(&mut self, report: &Report, now: f64) -> Answer {
+        self.now = now;
         if report.token > self.term {
             return Answer::Superseded;
         }
@@ -87,6 +127,7 @@
         }
         if let Some(m) = self.machines.get_mut(&name) {
             m.answered = Some(now);
+            m.repeated = None;
         }
         Answer::Orders(Reply {
             token: self.term,
@@ -96,6 +137,7 @@
 
     /// Takes in what came of a direct call with these starts.
     pub fn called(&mut self, name: &Name, call: &Direct, result: CallResult, now: f64) {
+        self.now = now;
         let Some(m) = self.machines.get_mut(name) else {
             return;
         };
@@ -122,8 +164,9 @@
         match result {
             CallResult::Executed(report) | CallResult::Rejected(report) => {
                 if report.machine == **name && (report.session, report.seq) > m.seen {
-                    if m.standing == Standing::Expired && report.session > m.seen.0 {
-                        // It lives on in a new session; its own report readmits it.
+                    if m.standing == Standing::Expired {
+                        // A new session: its own report readmits it. The old
+                        // one was proven over: what is late says nothing.
                         return;
                     }
                     self.take_in(name, &report, Via::Direct, now);
@@ -141,6 +184,7 @@
             return;
         };
         m.heard = now;
+        m.repeated = None;
         let newer_session = report.session > m.seen.0;
         let first = m.seen == (0, 0);
         m.seen = (report.session, report.seq);
@@ -208,19 +252,22 @@
         for key in gone {
             self.remove_attempt(name, &key);
         }
-        if self.machines.get(name).is_some_and(|m| m.active.is_empty()) {
-            // keep idle_since from when it became idle
-        } else if let Some(m) = self.machines.get_mut(name) {
-            m.idle_since = now;
+        if let Some(m) = self.machines.get_mut(name) {
+            if !m.active.is_empty() {
+                m.idle_since = now;
+            }
         }
+        self.reindex(name);
     }
 
     fn remove_attempt(&mut self, name: &Name, key: &(TaskId, u64)) {
         if let Some(m) = self.machines.get_mut(name) {
             m.active.remove(key);
+            m.repeated = None;
+            m.idle_since = self.now;
         }
         self.off(key);
-        self.drop_finished(&key.0.job);
+        self.reindex(name);
     }
 
     /// Removes stopped attempts that were never there once no copy is in flight.
@@ -253,11 +300,14 @@
             return;
         };
         let fresh = !m.active.contains_key(key);
+        let holds = self.jobs.get(&key.0.job).filter(|_| known_job);
+        let holds = holds.map_or(Room::default(), |j| Room::of_task(&j.spec));
         let active = m.active.entry(key.clone()).or_insert_with(|| {
-            let mut adopted = Active::new(now);
+            let mut adopted = Active::new(now, holds);
             adopted.unsent = false;
             adopted
         });
+        active.holds = holds;
         let was_exited = active.exited();
         active.phase = Some(phase);
         if phase == Phase::Running && active.running.is_none() {
@@ -279,12 +329,12 @@
         let index = key.0.index;
         if phase != Phase::Exited {
             let elsewhere = job.on.get(&index).is_some_and(|(_, a)| *a != key.1);
-            if fresh && !elsewhere {
-                // A former owner's task: adopted.
-                job.on.insert(index, (name.clone(), key.1));
-                if !job.done.contains(index) && !job.over {
-                    self.unbind(&key.0);
-                }
+            if !elsewhere && !job.on.contains_key(&index) {
+                // A former owner's task: adopted. It need not be the first
+                // report that shows it: a job can become known to us after its
+                // task did, and while that is being stopped it is still on.
+                job.set_on(index, name.clone(), key.1);
+                self.unbind(&key.0);
             }
             let Some(job) = self.jobs.get(&key.0.job) else {
                 return;
@@ -314,7 +364,7 @@
         let class = job.spec.class.clone();
         match cause {
             Some(Cause::Done) => {
-                job.done.insert(index);
+                job.set_done(index);
                 self.unwritten.insert(key.0.job.clone());
                 self.unbind(&key.0);
                 if let Some(m) = self.machines.get_mut(name) {
@@ -345,19 +395,6 @@
         self.off(key);
     }
 
-    /// Takes a task out of whatever queue it is bound to.
-    fn unbind(&mut self, task: &TaskId) {
-        let mut found = 0;
-        for m in self.machines.values_mut() {
-            let before = m.queue.len();
-            m.queue.retain(|b| b.task != *task);
-            found += before - m.queue.len();
-        }
-        if let Some(job) = self.jobs.get_mut(&task.job) {
-            job.bound = job.bound.saturating_sub(found as u32);
-        }
-    }
-
     /// Whether an exited attempt can be forgotten by its worker: what it says
     /// is in the books, and no copy of its start may still come.
     fn forgettable(&self, key: &(TaskId, u64), active: &Active) -> bool {
@@ -473,12 +510,17 @@
     /// was still ours after that: a new owner may be keeping it alive, and we
     /// would not know without contact to the state service.
     pub fn tick(&mut self, now: f64, confirmed: f64) {
+        self.now = now;
         let lease = with_margin(self.params.lease_s);
         let mut expired = Vec::new();
+        let mut fallen = Vec::new();
         for (name, m) in &self.machines {
             if m.standing == Standing::Expired {
                 continue;
             }
+            if m.indexed != (self.usable(m, now) && self.types.contains_key(&m.info.kind)) {
+                fallen.push(name.clone());
+            }
             // Ours alone counts once the machine has seen our term: from then
             // on it drops the answers of all earlier owners.
             // A session seen in a direct call's answer runs a lease from its
@@ -494,6 +536,9 @@
                 expired.push(name.clone());
             }
         }
+        for name in fallen {
+            self.reindex(&name);
+        }
         for name in expired {
             tracing::warn!(machine = %name, term = self.term, "silent for a lease: proven empty");
             self.clear_machine(&name);
@@ -501,6 +546,7 @@
                 m.standing = Standing::Expired;
                 m.recorded = false;
             }
+            self.reindex(&name);
             self.outbox.remove(&name);
             self.record_dirty = true;
             self.dirty = true;
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -19,7 +19,7 @@
 }
 
 /// Priority, lowest first, so that the derived order is the order of precedence.
-#[derive(Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Urgency {
     #[serde(rename = "idle")]
     Idle,
--- a/src/protocol/worker.rs
+++ b/src/protocol/worker.rs
@@ -1,6 +1,7 @@
 //! Workers' reports and the commands given to them.
 
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 /// State of a task on a machine.
 #[derive(Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,6 +77,50 @@
     pub tasks: Vec<Shown>,
 }
 
+/// A worker's report whose task list is not read yet: most reports repeat the
+/// list of the one before.
+#[derive(Deserialize, Clone, Debug)]
+pub struct ReportHead<'a> {
+    #[serde(rename = "host")]
+    pub machine: String,
+    #[serde(rename = "endpoint")]
+    pub addr: String,
+    #[serde(rename = "flavor")]
+    pub kind: String,
+    #[serde(rename = "site")]
+    pub zone: String,
+    #[serde(rename = "standby")]
+    pub spot: bool,
+    #[serde(rename = "tenure")]
+    pub session: u64,
+    #[serde(rename = "serial")]
+    pub seq: u64,
+    #[serde(rename = "epoch")]
+    pub token: u64,
+    #[serde(rename = "warning_s", default)]
+    pub notice_s: Option<f64>,
+    #[serde(rename = "shards", borrow)]
+    pub tasks: &'a RawValue,
+}
+
+impl ReportHead<'_> {
+    /// Reads the task list too.
+    pub fn read(self) -> Option<Report> {
+        Some(Report {
+            tasks: serde_json::from_str(self.tasks.get()).ok()?,
+            machine: self.machine,
+            addr: self.addr,
+            kind: self.kind,
+            zone: self.zone,
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: self.notice_s,
+        })
+    }
+}
+
 /// A command to a worker.
 #[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
 #[serde(tag = "verb")]
--- a/src/storage/marks.rs
+++ b/src/storage/marks.rs
@@ -19,6 +19,10 @@
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
+    /// All marked tasks, in order.
+    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
+        self.0.iter().copied()
+    }
     /// Adds all of `other`.
     pub fn merge(&mut self, other: &Marks) {
         self.0.extend(&other.0);
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -219,6 +219,7 @@
     assert_eq!(stops.count(), 3);
     assert!(starts(&reply).is_empty());
     orders(&mut core, &report("m1", 1, 4, 5, &[]), 3.0);
+    core.sweep();
     assert!(core.jobs.is_empty());
 }
 
