Machine record in chunks, done marks paced, direct calls bounded by sockets

Cause: the whole machine list went into one transaction, above its 64 KiB from some 550 machines on, so none of the later ones was used; marks of running jobs took the whole write limit and final states came late; hundreds of direct calls at once waited for sockets and timed out unsent.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -395,9 +395,16 @@
         Some((job.written.len() as u32, running as u32))
     }
 
-    /// Jobs whose marks differ from what is written.
+    /// Jobs whose marks differ from what is written: first those that are
+    /// complete, for a user waits, then those that were written longest ago.
     pub fn marks_due(&self, most: usize) -> Vec<Name> {
-        self.unwritten.iter().take(most).cloned().collect()
+        let mut due: Vec<(bool, f64, &Name)> = self
+            .unwritten
+            .iter()
+            .filter_map(|n| self.jobs.get(n).map(|j| (!j.complete(), j.marked_at, n)))
+            .collect();
+        due.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
+        due.into_iter().take(most).map(|d| d.2.clone()).collect()
     }
 
     /// These marks of the job are written.
@@ -406,6 +413,7 @@
             return;
         };
         job.version = version;
+        job.marked_at = self.now;
         job.written.merge(marks);
         if job.written.len() == job.done.len() {
             self.unwritten.remove(id);
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -17,12 +17,17 @@
     }
     if let Some(core) = node.core.borrow_mut().as_mut() {
         let base = core.fence.base_term;
+        // More calls than sockets would wait for one and time out unsent,
+        // which looks like a lost command.
+        let mut spare = node.workers.sockets.saturating_sub(node.calls.get());
         for name in std::mem::take(&mut core.outbox) {
-            if core.machines.get(&name).is_some_and(|m| m.calling) {
+            if spare == 0 || core.machines.get(&name).is_some_and(|m| m.calling) {
                 core.outbox.insert(name);
                 continue;
             }
             if let Some((addr, call)) = core.direct_call(&name, now) {
+                spare -= 1;
+                node.calls.set(node.calls.get() + 1);
                 calls.push((base, name, addr, call));
             }
         }
@@ -39,6 +44,7 @@
                 },
                 Err(_) => CallResult::NotSent,
             };
+            node.calls.set(node.calls.get() - 1);
             let now = node.now();
             if let Some(core) = node.core.borrow_mut().as_mut() {
                 if core.fence.base_term == base {
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -7,6 +7,7 @@
 use crate::protocol::state::{Entry, Event, Txn};
 use crate::storage::marks::Marks;
 use crate::storage::records::{self, Final, LiveJob, MarkChunk};
+use crate::transport::budget::Budget;
 use crate::transport::clients::{Failure, Lane};
 use actix::prelude::*;
 use serde_json::json;
@@ -27,10 +28,15 @@
         // within 3 s, and the state service counts every put.
         let report_s = node.settings.cluster.workers.report_s;
         let every = Duration::from_secs_f64((report_s / 4.0).clamp(0.05, 0.25));
+        // A quarter of the writes a second at most for jobs that go on: each is
+        // written more rarely the more there are, and workers repeat finished
+        // tasks until then. The rest is left to submissions and final states.
+        let rate = node.settings.cluster.state.write_rps / 4.0;
+        let mut partial = Budget::new(rate, rate.max(1.0), 0.0);
         actix_rt::spawn(async move {
             loop {
                 actix_rt::time::sleep(every).await;
-                while flush(&node).await {}
+                while flush(&node, &mut partial).await {}
             }
         });
     }
@@ -47,7 +53,7 @@
 }
 
 /// Writes one batch; true if there may be more.
-async fn flush(node: &Rc<Node>) -> bool {
+async fn flush(node: &Rc<Node>, partial: &mut Budget) -> bool {
     let limits = &node.settings.cluster.state;
     let (txn, parts, term) = {
         let core = node.core.borrow();
@@ -61,10 +67,14 @@
         let mut txn = Txn::default();
         let mut parts = Vec::new();
         let mut bytes = 0;
+        let now = node.now();
         for id in due {
             let Some(job) = core.jobs.get(&id) else {
                 continue;
             };
+            if !job.complete() && partial.take(1.0, true, now).is_err() {
+                break;
+            }
             // 64 KiB a transaction; half leaves room for the framing.
             if txn.changes.len() + 2 > limits.txn_ops || bytes > 32 * 1024 {
                 break;
@@ -115,6 +125,9 @@
             }
             parts.push(part);
         }
+        if parts.is_empty() {
+            return false;
+        }
         (txn, parts, core.fence.base_term)
     };
     let result = node.state.txn(&txn, Lane::Data).await;
--- a/src/coordination/member.rs
+++ b/src/coordination/member.rs
@@ -6,8 +6,11 @@
 use super::node::Node;
 use crate::protocol::cloud::TypeList;
 use crate::protocol::state::{Entry, Event, Txn};
+use crate::storage::chunks;
 use crate::storage::marks::Marks;
-use crate::storage::records::{self, Alive, LiveJob, MachineChunk, MarkChunk, Prior, Share, Term};
+use crate::storage::records::{
+    self, Alive, LiveJob, MachineChunk, MachineInfo, MarkChunk, Prior, Share, Term,
+};
 use crate::transport::clients::{Failure, Lane};
 use actix::prelude::*;
 use serde_json::json;
@@ -377,15 +380,25 @@
     if let Some(types) = &node.view.borrow().types {
         core.set_types(types);
     }
-    let (chunks, _) = node.state.list(records::MACHINES, Lane::Control).await?;
+    let (listed, _) = node.state.list(records::MACHINES, Lane::Control).await?;
     let now = node.now();
-    for entry in chunks {
-        if let Ok(chunk) = serde_json::from_value::<MachineChunk>(entry.value) {
-            for info in chunk.machines {
-                core.inherit(info, now);
-            }
+    let mut written: Vec<Vec<MachineInfo>> = Vec::new();
+    for entry in listed {
+        let at = records::chunk_of(&entry.key);
+        let chunk = serde_json::from_value::<MachineChunk>(entry.value);
+        let (Some(at), Ok(chunk)) = (at, chunk) else {
+            tracing::error!(key = %entry.key, "unreadable machine record");
+            continue;
+        };
+        for info in &chunk.machines {
+            core.inherit(info.clone(), now);
+        }
+        if written.len() <= at {
+            written.resize_with(at + 1, Vec::new);
         }
+        written[at] = chunk.machines;
     }
+    *node.written.borrow_mut() = written;
     let (jobs, revision) = node.state.list(records::LIVE, Lane::Control).await?;
     for entry in jobs {
         let Ok(record) = serde_json::from_value::<LiveJob>(entry.value) else {
@@ -443,7 +456,7 @@
         }
         look_after_share(&node);
         learn_quiet(&node);
-        write_machines(&node).await;
+        while write_machines(&node).await {}
         raise_term(&node).await;
     }
 }
@@ -474,49 +487,63 @@
     }
 }
 
-/// Writes the list of machines, conditional on the share being ours.
-async fn write_machines(node: &Node) {
-    // 200 bytes a machine with room to spare.
-    let per_chunk = (node.settings.cluster.state.value_kb * 1024.0 / 256.0).max(1.0) as usize;
-    let (version, infos) = {
+/// Writes what changed of the machine list, conditional on the share being
+/// ours; true if there is more.
+async fn write_machines(node: &Node) -> bool {
+    let limits = &node.settings.cluster.state;
+    // A tenth of a value, a quarter of a transaction stay free for framing.
+    let value_bytes = (limits.value_kb * 1024.0 * 0.9) as usize;
+    let txn_bytes = records::TXN_BYTES * 3 / 4;
+    let (version, term, changes, more) = {
         let view = node.view.borrow();
         let mut core = node.core.borrow_mut();
         let (Some((_, version)), Some(core)) = (&view.share, core.as_mut()) else {
-            return;
+            return false;
         };
         if !core.record_dirty {
-            return;
+            return false;
         }
-        core.record_dirty = false;
-        (*version, core.wanted_record())
+        let written = node.written.borrow();
+        let mut changes = chunks::plan(&written, &core.wanted_record(), value_bytes);
+        let fitting = chunks::fitting(&changes, limits.txn_ops, txn_bytes);
+        core.record_dirty = changes.len() > fitting;
+        changes.truncate(fitting);
+        (*version, core.fence.base_term, changes, core.record_dirty)
     };
+    if changes.is_empty() {
+        return false;
+    }
     let mut txn = Txn::default().when(records::SHARE, version);
-    let chunks: Vec<_> = infos.chunks(per_chunk).collect();
-    for i in 0..node.settings.cluster.state.txn_ops.min(chunks.len() + 2) {
-        let key = records::machines(i);
-        txn = match chunks.get(i) {
-            Some(chunk) => txn.put(
-                &key,
-                json!(MachineChunk {
-                    machines: chunk.to_vec()
-                }),
-            ),
-            None => txn.delete(&key),
+    for (at, machines) in &changes {
+        let chunk = MachineChunk {
+            machines: machines.clone(),
         };
+        txn = txn.put(&records::machines(*at), json!(chunk));
     }
     let result = node.state.txn(&txn, Lane::Control).await;
     let mut core = node.core.borrow_mut();
-    let Some(core) = core.as_mut() else {
-        return;
+    let Some(core) = core.as_mut().filter(|c| c.fence.base_term == term) else {
+        return false;
     };
     match result {
-        Ok(_) => core.record_written(&infos),
+        Ok(_) => {
+            let mut written = node.written.borrow_mut();
+            for (at, machines) in changes {
+                core.record_written(&machines);
+                if written.len() <= at {
+                    written.resize_with(at + 1, Vec::new);
+                }
+                written[at] = machines;
+            }
+            more
+        }
         Err(error) => {
             tracing::debug!(%error, "machine record not written");
             core.record_dirty = true;
             if matches!(error, Failure::Conflict(_)) {
                 node.doubt.set(true);
             }
+            false
         }
     }
 }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -6,7 +6,7 @@
 use crate::protocol::job::JobSpec;
 use crate::protocol::policy::Policy;
 use crate::protocol::settings::Settings;
-use crate::storage::records::{self, Final, LiveJob, Share};
+use crate::storage::records::{self, Final, LiveJob, MachineInfo, Share};
 use crate::transport::clients::{
     CloudClient, Failure, Lane, MeshClient, StateClient, WorkerClient,
 };
@@ -83,10 +83,14 @@
     pub core: RefCell<Option<Core>>,
     pub view: RefCell<View>,
     pub finals: RefCell<Finals>,
+    /// Our share's machine record as it is written, by chunk.
+    pub written: RefCell<Vec<Vec<MachineInfo>>>,
     /// When the last successful check that the share is ours began.
     pub confirmed: Cell<f64>,
     /// When the state service last answered.
     pub contact: Cell<f64>,
+    /// Direct calls to workers under way.
+    pub calls: Cell<usize>,
     /// The share record needs a fresh look.
     pub doubt: Cell<bool>,
 }
@@ -106,8 +110,10 @@
             core: RefCell::new(None),
             view: RefCell::default(),
             finals: RefCell::default(),
+            written: RefCell::default(),
             confirmed: Cell::new(f64::NEG_INFINITY),
             contact: Cell::new(f64::NEG_INFINITY),
+            calls: Cell::new(0),
             doubt: Cell::new(false),
         })
     }
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -37,6 +37,16 @@
 pub fn alive(host: &str) -> String {
     format!("fx/a/alive/{host}")
 }
+/// Largest transaction, by the protocol.
+pub const TXN_BYTES: usize = 64 * 1024;
+
+/// Which chunk of a share's machines the key names.
+pub fn chunk_of(key: &str) -> Option<usize> {
+    key.strip_prefix(MACHINES)?
+        .parse()
+        .ok()
+        .filter(|at| *at < 10_000)
+}
 /// Key of one chunk of a share's machines.
 pub fn machines(chunk: usize) -> String {
     format!("{MACHINES}{chunk:04}")
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -318,6 +318,8 @@
 #[derive(Clone)]
 pub struct WorkerClient {
     http: Http,
+    /// Calls that can be under way at once.
+    pub sockets: usize,
     timeout_s: f64,
 }
 
@@ -340,6 +342,7 @@
         let sockets = (settings.cluster.quota.max_sockets / 4).clamp(8, 128);
         WorkerClient {
             http: Http::new(timeout_s / 2.0, sockets),
+            sockets,
             timeout_s,
         }
     }
