A deposed owner steps down and leaves the cloud alone; cut zones are kept

A worker that has seen a higher term is proof of a takeover; now the owner steps down at once, and rents and returns only while its lease cannot have ended. Machines of a zone that fell silent as a whole are kept, not counted and not rented there.

--- a/src/app.rs
+++ b/src/app.rs
@@ -4,7 +4,7 @@
 use crate::coordination::dispatch::{self, Dispatcher};
 use crate::coordination::fleet::Fleet;
 use crate::coordination::ledger::Ledger;
-use crate::coordination::member::Member;
+use crate::coordination::member::{self, Member};
 use crate::coordination::node::{Found, Node};
 use crate::coordination::sessions::Answer as WorkerAnswer;
 use crate::protocol::job::{parse_submission, peek_id, valid_id, Accepted, JobState, Progress};
@@ -320,8 +320,7 @@
         }
         WorkerAnswer::Refuse => unavailable(),
         WorkerAnswer::Superseded => {
-            tracing::warn!(machine = %report.machine, token = report.token, "a worker saw a higher term");
-            node.doubt.set(true);
+            member::superseded(&node);
             unavailable()
         }
     }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -45,7 +45,9 @@
             loop {
                 actix_rt::time::sleep(Duration::from_secs(1)).await;
                 let term = node.core.borrow().as_ref().map(|c| c.fence.base_term);
-                let Some(term) = term.filter(|_| node.entitled()) else {
+                // Only while nobody can have taken the share: a deposed owner
+                // would see all machines go silent and return them.
+                let Some(term) = term.filter(|_| node.certain()) else {
                     continue;
                 };
                 if term != base {
@@ -125,6 +127,7 @@
         return;
     };
     let lease = core.params.lease_s;
+    let cut = core.cut_zones(now);
     for listed in &books.list {
         let boot_s = core.types.get(&listed.kind).map_or(60.0, |t| t.boot_s);
         let machine = core.machines.get(listed.id.as_str());
@@ -135,8 +138,11 @@
             ListedState::Running => {
                 machine.is_some_and(|m| {
                     // Past its lease nothing is lost by waiting a while for a
-                    // cut to end; after twice a boot a new one would be up.
-                    m.standing == Standing::Expired && now - m.heard > 2.0 * lease + boot_s
+                    // cut to end; after twice a boot a new one would be up,
+                    // but not where the whole zone is cut off.
+                    m.standing == Standing::Expired
+                        && now - m.heard > 2.0 * lease + boot_s
+                        && !cut.contains(&m.info.zone)
                 })
             }
         };
@@ -268,15 +274,17 @@
                 demand.waiting.push((job.spec.clone(), n));
             }
         }
+        let cut = core.cut_zones(now);
         demand.machines = core
             .machines
             .values()
             .filter(|m| m.standing == Standing::Up)
             .map(|m| m.info.clone())
             .chain(books.booting.values().map(|b| b.0.clone()))
+            .filter(|info| !cut.contains(&info.zone))
             .collect();
         wanted(&demand, types, node.policy.headroom, |offer| {
-            books.closed.get(offer).is_none_or(|c| now >= c.0)
+            books.closed.get(offer).is_none_or(|c| now >= c.0) && !cut.contains(&offer.zone)
         })
     };
     for (offer, count) in plan {
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -122,6 +122,8 @@
     /// A direct call is under way.
     pub calling: bool,
     pub called_at: f64,
+    /// When it was first asked for a report under our term.
+    pub probed_at: Option<f64>,
     /// Failures in a row of jobs that are not suspect.
     pub errors: u32,
     pub idle_since: f64,
@@ -150,6 +152,7 @@
             images: Vec::new(),
             calling: false,
             called_at: f64::NEG_INFINITY,
+            probed_at: None,
             errors: 0,
             idle_since: now,
         }
--- a/src/coordination/member.rs
+++ b/src/coordination/member.rs
@@ -36,13 +36,8 @@
     actix_rt::time::sleep(Duration::from_secs_f64(s)).await;
 }
 
-/// Life of a controller's lease.
-fn life_s(node: &Node) -> f64 {
-    (node.policy.member_leases * node.settings.cluster.workers.lease_s).clamp(0.5, 600.0)
-}
-
 async fn keep_lease(node: Rc<Node>) {
-    let life = life_s(&node);
+    let life = node.life_s();
     // Five renewals in a life: three may be lost in a row.
     let every = life / 5.0;
     let key = records::alive(&node.settings.host_name);
@@ -212,6 +207,16 @@
     }
 }
 
+/// A worker saw a term above ours, which only another owner can have told it.
+/// Going on would keep workers and users with us until our time is over.
+pub fn superseded(node: &Node) {
+    if node.core.borrow().is_some() {
+        tracing::warn!("a worker saw a higher term: stepping down");
+        step_down(node);
+        node.doubt.set(true);
+    }
+}
+
 /// Stops acting for the share; the new incarnation tells all that look.
 fn step_down(node: &Node) {
     *node.core.borrow_mut() = None;
@@ -432,7 +437,7 @@
 /// record, raises the term, learns when former owners are quiet.
 async fn mind_share(node: Rc<Node>) {
     // As often as the lease is renewed: takeovers are decided by its end.
-    let every = (life_s(&node) / 10.0).clamp(0.1, 0.5);
+    let every = (node.life_s() / 10.0).clamp(0.1, 0.5);
     loop {
         sleep(every).await;
         if node.doubt.get() && node.core.borrow().is_some() {
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -142,6 +142,18 @@
         self.core.borrow().is_some() && self.now() - self.confirmed.get() < self.quiet_s()
     }
 
+    /// Whether nobody can have taken the share from us: our lease in the state
+    /// service cannot have ended since it was last renewed.
+    pub fn certain(&self) -> bool {
+        self.core.borrow().is_some() && self.now() - self.confirmed.get() < self.life_s()
+    }
+
+    /// Life of a controller's lease in the state service. At least two seconds:
+    /// five renewals, each with time for a slow answer.
+    pub fn life_s(&self) -> f64 {
+        (self.policy.member_leases * self.settings.cluster.workers.lease_s).clamp(2.0, 600.0)
+    }
+
     /// The owner's name, if it is known and not us.
     pub fn other_owner(&self) -> Option<String> {
         let view = self.view.borrow();
--- a/src/coordination/place.rs
+++ b/src/coordination/place.rs
@@ -167,6 +167,7 @@
         self.dirty = false;
         self.unbind_aged(now);
         self.make_order(now);
+        self.prune_stopping();
         let mut pass = Pass {
             usage: self.usage(),
             ..Pass::default()
--- a/src/coordination/preempt.rs
+++ b/src/coordination/preempt.rs
@@ -110,8 +110,7 @@
     }
 
     /// What each team's stopped work will free, less what waits for it.
-    fn freeing(&mut self) -> HashMap<usize, (f64, f64)> {
-        self.prune_stopping();
+    fn freeing(&self) -> HashMap<usize, (f64, f64)> {
         let mut sums: HashMap<usize, (f64, f64)> = HashMap::new();
         let stopped = self.stopping.iter().map(|(_, (task, _))| (task, 1.0));
         let bound = self
@@ -177,7 +176,6 @@
 
     /// The cheapest of the plans weighed.
     fn cheapest(&mut self, name: &str, lacking: bool, pass: &Pass, now: f64) -> Option<Plan> {
-        self.prune_stopping();
         let start: usize = self.rng.random_range(0..1 << 16);
         let job = self.jobs.get(name)?;
         let zones = self.zones(job);
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -485,6 +485,9 @@
         }
         m.calling = true;
         m.called_at = now;
+        if probe {
+            m.probed_at.get_or_insert(now);
+        }
         let call = Direct {
             token: term,
             session: m.seen.0,
@@ -563,6 +566,9 @@
     pub fn given_up(&self, now: f64) -> Vec<String> {
         let silent_s = self.params.silent_s() + self.params.report_s;
         let unknown_s = 1.5 * self.params.report_s + 0.5;
+        // One that was asked answers within milliseconds; a tenth of a lease
+        // covers a busy owner, which asks a thousand at once.
+        let unanswered_s = self.params.lease_s / 10.0;
         let recorded = self.machines.values().filter(|m| m.recorded);
         let silent: Vec<String> = recorded
             .clone()
@@ -574,6 +580,7 @@
                         // From when we know of it: one that just came up has
                         // not had the time to see our term.
                         now - m.session_at > unknown_s
+                            || m.probed_at.is_some_and(|t| now - t > unanswered_s)
                     }
             })
             .map(|m| m.info.id.clone())
@@ -586,6 +593,26 @@
         }
     }
 
+    /// Zones most of whose machines fell silent together: cut off, most likely.
+    /// Their machines go on, so they are not replaced, but do not count either.
+    pub fn cut_zones(&self, now: f64) -> Vec<String> {
+        let silent_s = self.params.silent_s() + self.params.report_s;
+        let mut zones: Vec<(&str, usize, usize)> = Vec::new();
+        for m in self.machines.values() {
+            let silent = usize::from(now - m.heard > silent_s);
+            match zones.iter_mut().find(|z| z.0 == m.info.zone) {
+                Some(z) => {
+                    z.1 += 1;
+                    z.2 += silent;
+                }
+                None => zones.push((&m.info.zone, 1, silent)),
+            }
+        }
+        // Of two or three machines most may well have died one by one.
+        let cut = |z: &&(&str, usize, usize)| z.1 >= 4 && 2 * z.2 > z.1;
+        zones.iter().filter(cut).map(|z| z.0.to_string()).collect()
+    }
+
     /// Spot notice: stop what can save, let the short finish.
     fn heed_notices(&mut self, now: f64) {
         let mut stops = Vec::new();
