Vouches and promises: a cut-off owner falls silent within its lease, an outage does not

Now it goes on alone for 1.5 lives of its own lease, longer only while a majority vouches; a new owner gathers promises that end the vouching.

--- a/src/app.rs
+++ b/src/app.rs
@@ -330,12 +330,17 @@
     let Some(ask) = mesh::decode::<Ask>(&body) else {
         return HttpResponse::BadRequest().finish();
     };
+    if let Ask::Promise(term) = ask {
+        member::promise(&node, term);
+    }
     let reply = match (ask, node.core.borrow().as_ref()) {
         (Ask::Progress(id), Some(core)) => match core.progress(&id) {
             Some((done, running)) => Answer::Progress { done, running },
             None => Answer::NotMine,
         },
         (Ask::Overview, Some(core)) => Answer::Overview(core.overview(node.now())),
+        (Ask::Vouch(term), _) if node.vouches_for(term) => Answer::Agreed,
+        (Ask::Promise(_), _) => Answer::Agreed,
         _ => Answer::NotMine,
     };
     HttpResponse::Ok().body(mesh::encode(&reply))
--- a/src/coordination/member.rs
+++ b/src/coordination/member.rs
@@ -4,7 +4,9 @@
 use super::core::{Core, Params};
 use super::fence::{remaining, Fence};
 use super::node::Node;
+use super::vouch::{self, Round};
 use crate::protocol::cloud::TypeList;
+use crate::protocol::mesh::{Answer, Ask};
 use crate::protocol::state::{Entry, Event, Txn};
 use crate::storage::chunks;
 use crate::storage::marks::Marks;
@@ -14,6 +16,7 @@
 use crate::transport::clients::{Failure, Lane};
 use actix::prelude::*;
 use serde_json::json;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -207,6 +210,18 @@
     }
 }
 
+/// Promises never to vouch for an owner before this term; if that is us, our
+/// time is over. (Our own voice counts in our majority, so it must not stay.)
+pub fn promise(node: &Node, term: u64) {
+    node.promised.set(node.promised.get().max(term));
+    let ours = node.core.borrow().as_ref().map(|c| c.term);
+    if ours.is_some_and(|t| t < term) {
+        tracing::warn!(term, "another controller took over: stepping down");
+        step_down(node);
+        node.doubt.set(true);
+    }
+}
+
 /// A worker saw a term above ours, which only another owner can have told it.
 /// Going on would keep workers and users with us until our time is over.
 pub fn superseded(node: &Node) {
@@ -311,6 +326,7 @@
             }
             *node.core.borrow_mut() = None;
             node.doubt.set(false);
+            node.taken_at.set(node.now());
             loop {
                 match load(node, &share).await {
                     Ok(()) => break,
@@ -460,12 +476,85 @@
             }
         }
         look_after_share(&node);
+        seek_vouches(&node);
+        seek_promises(&node);
         learn_quiet(&node);
         while write_machines(&node).await {}
         raise_term(&node).await;
     }
 }
 
+/// Asks the peers that `wanted` lets pass, and notes who agreed.
+fn ask_peers(
+    node: &Rc<Node>,
+    ask: Ask,
+    term: u64,
+    round: fn(&Node) -> &RefCell<Round>,
+    wanted: impl Fn(&str) -> bool,
+) {
+    let peers = &node.settings.peers;
+    for peer in peers.iter().filter(|p| wanted(&p.name)) {
+        let (node, ask) = (node.clone(), ask.clone());
+        let (name, addr) = (peer.name.clone(), peer.addr);
+        actix_rt::spawn(async move {
+            let asked_at = node.now();
+            if node.mesh.ask(addr, &ask).await == Some(Answer::Agreed) {
+                let nodes = node.settings.cluster.nodes;
+                let now = node.now();
+                round(&node)
+                    .borrow_mut()
+                    .agreed(term, &name, asked_at, now, nodes);
+            }
+        });
+    }
+}
+
+/// Without contact to the state service for half of our lease's life, asks the
+/// others to vouch for us, several times within the span that a vouch counts.
+fn seek_vouches(node: &Rc<Node>) {
+    let life = node.life_s();
+    let term = node.core.borrow().as_ref().map(|c| c.term);
+    let Some(term) = term.filter(|_| node.now() - node.confirmed.get() > life / 2.0) else {
+        return;
+    };
+    node.vouches.borrow_mut().about(term);
+    let due = node.now() - node.vouched_at.get() >= life / 8.0;
+    if due {
+        node.vouched_at.set(node.now());
+        ask_peers(node, Ask::Vouch(term), term, |n| &n.vouches, |_| true);
+    }
+}
+
+/// After a takeover asks the others never to vouch for an earlier owner.
+fn seek_promises(node: &Rc<Node>) {
+    let term = node
+        .core
+        .borrow()
+        .as_ref()
+        .filter(|c| c.fence.quiet_since.is_none())
+        .map(|c| c.fence.base_term);
+    let Some(term) = term else {
+        return;
+    };
+    node.promises.borrow_mut().about(term);
+    let missing: Vec<String> = {
+        let promises = node.promises.borrow();
+        let names = node.settings.peers.iter().map(|p| p.name.clone());
+        names.filter(|n| !promises.has(n)).collect()
+    };
+    let due = node.now() - node.vouched_at.get() >= node.life_s() / 8.0;
+    if due && !missing.is_empty() {
+        node.vouched_at.set(node.now());
+        ask_peers(
+            node,
+            Ask::Promise(term),
+            term,
+            |n| &n.promises,
+            |name| missing.iter().any(|m| m == name),
+        );
+    }
+}
+
 /// Notices that no former owner can answer any more.
 fn learn_quiet(node: &Node) {
     let bound_ms = node.settings.cluster.time_bound_ms.ceil() as u64;
@@ -485,7 +574,9 @@
             now_ms,
             bound_ms,
         );
-        if left.is_empty() {
+        let promised =
+            vouch::quiet_from(&node.promises.borrow(), &node.spans(), node.taken_at.get());
+        if left.is_empty() || promised.is_some_and(|t| node.now() > t) {
             tracing::info!(term = core.term, "no former owner is left");
             core.fence.quiet_since = Some(node.now());
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -20,3 +20,4 @@
 pub mod quota;
 pub mod room;
 pub mod sessions;
+pub mod vouch;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -2,6 +2,7 @@
 //! plain cells suffice; no borrow is held across an await.
 
 use super::core::Core;
+use super::vouch::{self, Round, Spans};
 use crate::protocol::cloud::MachineType;
 use crate::protocol::job::JobSpec;
 use crate::protocol::policy::Policy;
@@ -91,6 +92,15 @@
     pub contact: Cell<f64>,
     /// Direct calls to workers under way.
     pub calls: Cell<usize>,
+    /// Vouches for us while we have no contact to the state service.
+    pub vouches: RefCell<Round>,
+    /// Promises after we took the share over, and when we did.
+    pub promises: RefCell<Round>,
+    pub taken_at: Cell<f64>,
+    /// When the others were last asked for vouches or promises.
+    pub vouched_at: Cell<f64>,
+    /// Highest term of an owner that asked for our promise.
+    pub promised: Cell<u64>,
     /// The share record needs a fresh look.
     pub doubt: Cell<bool>,
 }
@@ -114,6 +124,11 @@
             confirmed: Cell::new(f64::NEG_INFINITY),
             contact: Cell::new(f64::NEG_INFINITY),
             calls: Cell::new(0),
+            vouches: RefCell::default(),
+            promises: RefCell::default(),
+            taken_at: Cell::new(f64::NEG_INFINITY),
+            vouched_at: Cell::new(f64::NEG_INFINITY),
+            promised: Cell::new(0),
             doubt: Cell::new(false),
         })
     }
@@ -131,15 +146,36 @@
     }
 
     /// For how long an owner may go on answering without contact to the state
-    /// service. While that is away for all, nothing can be taken over, so this
-    /// is long; after a takeover it bounds how long the former owner lasts.
+    /// service at most. While that is away for all, nothing can be taken over,
+    /// so this is long; after a takeover it bounds how long the former owner
+    /// lasts if no majority of promises is had (see `vouch`).
     pub fn quiet_s(&self) -> f64 {
         self.policy.quiet_leases * self.settings.cluster.workers.lease_s
     }
 
     /// Whether we own the share and may answer workers.
     pub fn entitled(&self) -> bool {
-        self.core.borrow().is_some() && self.now() - self.confirmed.get() < self.quiet_s()
+        let nodes = self.settings.cluster.nodes;
+        self.core.borrow().is_some()
+            && vouch::may_answer(
+                &self.vouches.borrow(),
+                &self.spans(),
+                nodes,
+                self.confirmed.get(),
+                self.now(),
+            )
+    }
+
+    /// How long who goes on answering.
+    pub fn spans(&self) -> Spans {
+        Spans::new(self.life_s(), self.quiet_s())
+    }
+
+    /// Whether we know of no owner later than the one under this term.
+    pub fn vouches_for(&self, term: u64) -> bool {
+        let view = self.view.borrow();
+        let known = view.share.as_ref().map_or(0, |(s, _)| s.term);
+        view.loaded && known <= term && self.promised.get() <= term
     }
 
     /// Whether nobody can have taken the share from us: our lease in the state
--- /dev/null
+++ b/src/coordination/vouch.rs
@@ -0,0 +1,98 @@
+//! How long an owner without contact to the state service goes on answering
+//! its workers, and how soon a new owner knows that it has stopped.
+//!
+//! Without contact an owner cannot tell an outage for all, during which nothing
+//! can be taken over and its workers' leases should live, from a refusal of
+//! itself alone. So it goes on for a little more than its lease in the state
+//! service, and after that only while a majority of the controllers vouches
+//! that it knows of no later owner. Who takes a share over asks for promises
+//! never to vouch for an earlier one again: with a majority of them no
+//! majority of vouches can arise any more.
+
+use std::collections::HashMap;
+
+/// The spans of time involved, in seconds.
+#[derive(Debug, Clone, Copy)]
+pub struct Spans {
+    /// An owner goes on alone for this long after its last check.
+    pub alone_s: f64,
+    /// A vouch counts for this long from when it was asked for.
+    pub vouch_s: f64,
+    /// However many vouch, not longer than this.
+    pub most_s: f64,
+}
+
+impl Spans {
+    /// `life_s` is that of a controller's lease; before it ends nobody can have
+    /// taken over, and half of it more covers a slow renewal.
+    pub fn new(life_s: f64, most_s: f64) -> Spans {
+        Spans {
+            alone_s: (1.5 * life_s).min(most_s),
+            vouch_s: life_s / 2.0,
+            most_s,
+        }
+    }
+}
+
+/// An answer from each controller and when it was asked for.
+#[derive(Debug, Default)]
+pub struct Round {
+    /// The term that it is about.
+    term: u64,
+    asked: HashMap<String, f64>,
+    /// When a majority was there for the first time.
+    complete_at: Option<f64>,
+}
+
+impl Round {
+    /// Starts anew if it is about another term.
+    pub fn about(&mut self, term: u64) {
+        if self.term != term {
+            *self = Round {
+                term,
+                ..Round::default()
+            };
+        }
+    }
+
+    /// `peer` agreed for `term` when asked at `asked_at`.
+    pub fn agreed(&mut self, term: u64, peer: &str, asked_at: f64, now: f64, nodes: usize) {
+        if term != self.term {
+            return;
+        }
+        self.asked.insert(peer.to_string(), asked_at);
+        if self.complete_at.is_none() && majority(self.asked.len(), nodes) {
+            self.complete_at = Some(now);
+        }
+    }
+
+    /// Whether the peer has agreed.
+    pub fn has(&self, peer: &str) -> bool {
+        self.asked.contains_key(peer)
+    }
+}
+
+/// Whether these peers and we are more than half of all controllers.
+fn majority(peers: usize, nodes: usize) -> bool {
+    2 * (peers + 1) > nodes
+}
+
+/// Whether an owner may answer its workers, given its last check of its
+/// ownership and the vouches for its term.
+pub fn may_answer(vouches: &Round, spans: &Spans, nodes: usize, confirmed: f64, now: f64) -> bool {
+    let alone_s = now - confirmed;
+    if alone_s < spans.alone_s {
+        return true;
+    }
+    let valid = |at: &&f64| now - **at < spans.vouch_s;
+    alone_s < spans.most_s && majority(vouches.asked.values().filter(valid).count(), nodes)
+}
+
+/// From when on no earlier owner answers, once enough peers have promised;
+/// `taken_at` is when the takeover was known to be done.
+pub fn quiet_from(promises: &Round, spans: &Spans, taken_at: f64) -> Option<f64> {
+    let last_vouch = promises.complete_at? + spans.vouch_s;
+    // Clocks drift by half a thousandth against each other, timers come late.
+    let margin = 0.002 * (spans.alone_s + spans.vouch_s) + 0.1;
+    Some(last_vouch.max(taken_at + spans.alone_s) + margin)
+}
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -1,5 +1,6 @@
 //! What controllers say to each other (bincode): hints that make answers
-//! fresher or faster. Nothing here is needed for a rule to hold.
+//! fresher or faster, and vouches for an owner without contact to the state
+//! service. A message that does not come never breaks a rule.
 
 use serde::{Deserialize, Serialize};
 
@@ -10,6 +11,11 @@
     Progress(String),
     /// The overview of live jobs, as text.
     Overview,
+    /// I own the share under this term and have no contact to the state service:
+    /// do you know of a later owner?
+    Vouch(u64),
+    /// I took the share over under this term: never vouch for an earlier one.
+    Promise(u64),
 }
 
 /// Its answer.
@@ -21,6 +27,8 @@
         running: u32,
     },
     Overview(String),
+    /// No later owner is known, or the promise is given.
+    Agreed,
     /// The asked controller does not own what was asked about.
     NotMine,
 }
