--- a/src/coordination/place.rs
+++ b/src/coordination/place.rs
@@ -145,7 +145,7 @@
 
     /// The zone with most room for the job, which decides for all of its tasks.
     fn roomiest_zone(&self, spec: &JobSpec) -> Option<String> {
-        let mut room: Vec<(&str, usize)> = Vec::new();
+        let mut room: Vec<(&str, f64)> = Vec::new();
         for p in self.index.pools_for(spec, &self.types, |_| true) {
             let zone = self.index.pool(p).zone.as_str();
             let free = self.index.free_cpus(p, spec.cpus);
@@ -154,7 +154,7 @@
                 None => room.push((zone, free)),
             }
         }
-        let best = room.into_iter().max_by_key(|z| z.1);
+        let best = room.into_iter().max_by(|a, b| a.1.total_cmp(&b.1));
         best.map(|(zone, _)| zone.to_string())
     }
 
@@ -335,7 +335,7 @@
             return picks;
         }
         let failed = self.jobs.get(&task.job).map(|j| &j.failed_on).filter(|f| {
-            let usable: usize = pools.iter().map(|&p| self.index.pool(p).usable).sum();
+            let usable: usize = pools.iter().map(|&p| self.index.pool(p).usable()).sum();
             !f.is_empty() && f.len() < usable
         });
         let good = |core: &Core, at: usize, picks: &[Name]| {
--- a/src/coordination/room.rs
+++ b/src/coordination/room.rs
@@ -58,30 +58,39 @@
     pub kind: String,
     pub zone: String,
     pub spot: bool,
-    /// Usable machines by whole free CPUs.
-    by_room: Vec<Vec<Name>>,
+    /// Usable machines by free CPUs, least first. Sizes of tasks are any
+    /// decimals, so that classes by whole CPUs would hold many that do not fit;
+    /// moving a few hundred entries at a change costs less than looking at them.
+    by_room: Vec<(f64, Name)>,
     /// Usable machines with a place in their queue.
     short: Vec<Name>,
-    /// Usable machines.
-    pub usable: usize,
+}
+
+impl Pool {
+    pub fn usable(&self) -> usize {
+        self.by_room.len()
+    }
+
+    /// Where in the order a machine with this much room stands.
+    fn place(&self, cpus: f64, name: &str) -> Result<usize, usize> {
+        self.by_room
+            .binary_search_by(|(c, n)| c.total_cmp(&cpus).then_with(|| (**n).cmp(name)))
+    }
+
+    /// The first machine with this many CPUs free; sums are off by a little.
+    fn first(&self, cpus: f64) -> usize {
+        self.by_room.partition_point(|(c, _)| *c < cpus - 1e-6)
+    }
 }
 
 /// Where the index has a machine.
 #[derive(Debug, Clone, Copy)]
 struct Place {
     pool: usize,
-    bucket: usize,
-    at: usize,
+    cpus: f64,
     short: Option<usize>,
 }
 
-/// Buckets of free CPUs; what has more is in the last.
-const BUCKETS: usize = 257;
-
-fn bucket(cpus: f64) -> usize {
-    ((cpus + 1e-6).max(0.0) as usize).min(BUCKETS - 1)
-}
-
 /// The index.
 #[derive(Debug, Default)]
 pub struct Index {
@@ -96,11 +105,8 @@
             return;
         };
         let pool = &mut self.pools[place.pool];
-        pool.usable -= 1;
-        let bucket = &mut pool.by_room[place.bucket];
-        bucket.swap_remove(place.at);
-        if let Some(p) = bucket.get(place.at).and_then(|n| self.places.get_mut(n)) {
-            p.at = place.at;
+        if let Ok(at) = pool.place(place.cpus, name) {
+            pool.by_room.remove(at);
         }
         if let Some(at) = place.short {
             pool.short.swap_remove(at);
@@ -113,7 +119,7 @@
     /// Puts a usable machine where it belongs now.
     pub(super) fn put(&mut self, name: &Name, info: &MachineInfo, free_cpus: f64, short: bool) {
         if let Some(place) = self.places.get(name) {
-            if place.bucket == bucket(free_cpus) && place.short.is_some() == short {
+            if place.cpus == free_cpus && place.short.is_some() == short {
                 return;
             }
         }
@@ -129,21 +135,16 @@
                 spot: info.spot,
                 by_room: Vec::new(),
                 short: Vec::new(),
-                usable: 0,
             });
             self.pools.len() - 1
         });
         let pool = &mut self.pools[at];
-        let bucket = bucket(free_cpus);
-        if pool.by_room.len() <= bucket {
-            pool.by_room.resize_with(bucket + 1, Vec::new);
+        if let Err(to) = pool.place(free_cpus, name) {
+            pool.by_room.insert(to, (free_cpus, name.clone()));
         }
-        pool.usable += 1;
-        pool.by_room[bucket].push(name.clone());
         let place = Place {
             pool: at,
-            bucket,
-            at: pool.by_room[bucket].len() - 1,
+            cpus: free_cpus,
             short: short.then_some(pool.short.len()),
         };
         if short {
@@ -160,7 +161,7 @@
         zone_ok: impl Fn(&str) -> bool,
     ) -> Vec<usize> {
         let fits = |p: &Pool| {
-            p.usable > 0 && allowed(spec, &p.kind, &p.zone, p.spot, types) && zone_ok(&p.zone)
+            p.usable() > 0 && allowed(spec, &p.kind, &p.zone, p.spot, types) && zone_ok(&p.zone)
         };
         (0..self.pools.len())
             .filter(|&i| fits(&self.pools[i]))
@@ -171,37 +172,29 @@
         &self.pools[at]
     }
 
-    /// How many machines of the pools may have this many CPUs free.
+    /// How many machines of the pools have this many CPUs free.
     pub(super) fn roomy(&self, pools: &[usize], cpus: f64) -> usize {
-        let least = bucket(cpus);
-        pools
-            .iter()
-            .flat_map(|&p| self.pools[p].by_room.iter().skip(least))
-            .map(Vec::len)
-            .sum()
+        let roomy = |p: &Pool| p.by_room.len() - p.first(cpus);
+        pools.iter().map(|&p| roomy(&self.pools[p])).sum()
     }
 
     /// The `n`th of those.
     pub(super) fn roomy_at(&self, pools: &[usize], cpus: f64, mut n: usize) -> Option<&Name> {
-        let least = bucket(cpus);
         for &p in pools {
-            for bucket in self.pools[p].by_room.iter().skip(least) {
-                if n < bucket.len() {
-                    return bucket.get(n);
-                }
-                n -= bucket.len();
+            let pool = &self.pools[p];
+            let roomy = &pool.by_room[pool.first(cpus)..];
+            if n < roomy.len() {
+                return roomy.get(n).map(|r| &r.1);
             }
+            n -= roomy.len();
         }
         None
     }
 
-    /// Whole free CPUs of a pool's machines that have at least this many.
-    pub(super) fn free_cpus(&self, pool: usize, cpus: f64) -> usize {
-        let buckets = self.pools[pool].by_room.iter().enumerate();
-        buckets
-            .skip(bucket(cpus))
-            .map(|(room, names)| (room + 1) * names.len())
-            .sum()
+    /// Free CPUs of a pool's machines that have at least this many.
+    pub(super) fn free_cpus(&self, pool: usize, cpus: f64) -> f64 {
+        let pool = &self.pools[pool];
+        pool.by_room[pool.first(cpus)..].iter().map(|r| r.0).sum()
     }
 
     /// How many machines of the pools have a place in their queue.
