--- a/src/coordination/job.rs
+++ b/src/coordination/job.rs
@@ -62,6 +62,8 @@
     pub not_before: f64,
     /// Whether the job fits into its team's guarantee (see `quota`).
     pub guaranteed: bool,
+    /// Pools of machines that it may use, for this version of the index.
+    pub pools: (u64, Rc<[usize]>),
     /// Whether an aim was in reach when the order was last made (see `order`).
     pub pressed: bool,
 }
@@ -85,6 +87,7 @@
             failed_on: HashSet::new(),
             not_before: 0.0,
             guaranteed: false,
+            pools: (u64::MAX, Rc::from([])),
             pressed: true,
         };
         job.merge_done(&done);
--- a/src/coordination/place.rs
+++ b/src/coordination/place.rs
@@ -14,13 +14,11 @@
 use crate::protocol::job::{JobSpec, Urgency};
 use rand::Rng;
 use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
 
-/// Draws for each machine of a sample, before a look at all that are left:
+/// Draws for each machine of a sample, before a look at all as a last resort:
 /// chosen by free CPUs, most have the memory too.
 const DRAWS: usize = 4;
-/// Most machines looked at as the last resort.
-const SCAN: usize = 64;
-
 /// What one pass remembers.
 #[derive(Debug, Default)]
 pub(super) struct Pass {
@@ -106,7 +104,10 @@
             self.index.remove(&key);
         }
         if let Some(m) = self.machines.get_mut(&key) {
-            let grown = usable && (!m.indexed || m.free != free);
+            let grown = usable && (!m.indexed || !m.free.holds(&free));
+            if grown {
+                self.index.grew(&free);
+            }
             m.free = free;
             m.indexed = usable;
             if grown && !m.queue.is_empty() {
@@ -212,8 +213,7 @@
             return;
         }
         let (spec, team) = (job.spec.clone(), job.team);
-        let by_zone = spec.one_zone || spec.spread;
-        let mut pools = None;
+        let need = Room::of_task(&spec);
         loop {
             let Some(job) = self.jobs.get(name) else {
                 return;
@@ -226,14 +226,10 @@
             if !allowed && !self.team_has_less_urgent(team, spec.urgency, pass) {
                 return;
             }
-            if by_zone || pools.is_none() {
-                let zones = self.zones(job);
-                let found = self
-                    .index
-                    .pools_for(&spec, &self.types, |z| zones.allows(z));
-                pools = Some(found);
-            }
-            let pools = pools.as_deref().unwrap_or_default();
+            let Some(pools) = self.pools_of(name) else {
+                return;
+            };
+            let pools = &pools[..];
             let Some(index) = self.jobs.get_mut(name).and_then(Job::pop) else {
                 return;
             };
@@ -241,7 +237,7 @@
                 job: name.clone(),
                 index,
             };
-            if allowed {
+            if allowed && !self.index.is_full(pools, &need) {
                 if let Some(machine) = self.draw_open(&spec, &task, pools, now) {
                     self.begin(&machine, task, &spec, pass, now);
                     continue;
@@ -267,6 +263,23 @@
         }
     }
 
+    /// The pools that a task of the job may use now.
+    fn pools_of(&mut self, name: &Name) -> Option<Rc<[usize]>> {
+        let job = self.jobs.get(name)?;
+        let spec = &job.spec;
+        let by_zone = spec.one_zone || spec.spread;
+        if !by_zone && job.pools.0 == self.index.version {
+            return Some(job.pools.1.clone());
+        }
+        let zones = self.zones(job);
+        let zone_ok = |z: &str| zones.allows(z);
+        let pools: Rc<[usize]> = self.index.pools_for(spec, &self.types, zone_ok).into();
+        if let Some(job) = self.jobs.get_mut(name) {
+            job.pools = (self.index.version, pools.clone());
+        }
+        Some(pools)
+    }
+
     /// Whether the team has work on machines that is less urgent than this.
     fn team_has_less_urgent(&self, team: Option<usize>, urgency: Urgency, pass: &mut Pass) -> bool {
         *pass.less_urgent.entry((team, urgency)).or_insert_with(|| {
@@ -288,13 +301,19 @@
     ) -> Option<Name> {
         let need = Room::of_task(spec);
         let n = self.index.roomy(pools, spec.cpus);
+        let mut room = false;
         let picks = self.sample(n, task, pools, |core, at| {
             let name = core.index.roomy_at(pools, spec.cpus, at)?;
             let m = core.machines.get(name)?;
             // An attempt that is not forgotten yet would refuse it.
-            let fits = m.free.holds(&need) && core.usable(m, now) && !m.knows(task);
-            fits.then(|| name.clone())
+            let fits = m.free.holds(&need);
+            room |= fits;
+            (fits && core.usable(m, now) && !m.knows(task)).then(|| name.clone())
         });
+        if !room {
+            // Every one was looked at: not again before one has more room.
+            self.index.set_full(pools, need);
+        }
         picks.into_iter().min_by(|a, b| {
             let (a, b) = (&self.machines[a], &self.machines[b]);
             b.has_image(&spec.image)
@@ -327,7 +346,7 @@
         n: usize,
         task: &TaskId,
         pools: &[usize],
-        accept: impl Fn(&Core, usize) -> Option<Name>,
+        mut accept: impl FnMut(&Core, usize) -> Option<Name>,
     ) -> Vec<Name> {
         let want = self.params.policy.sample.min(n);
         let mut picks: Vec<Name> = Vec::with_capacity(want);
@@ -338,7 +357,7 @@
             let usable: usize = pools.iter().map(|&p| self.index.pool(p).usable()).sum();
             !f.is_empty() && f.len() < usable
         });
-        let good = |core: &Core, at: usize, picks: &[Name]| {
+        let mut good = |core: &Core, at: usize, picks: &[Name]| {
             accept(core, at).filter(|m| !picks.contains(m) && failed.is_none_or(|f| !f.contains(m)))
         };
         let mut rng = self.rng.clone();
@@ -351,7 +370,7 @@
         }
         if picks.is_empty() {
             let from = rng.random_range(0..n);
-            for step in 0..n.min(SCAN) {
+            for step in 0..n {
                 picks.extend(good(self, (from + step) % n, &picks));
                 if picks.len() == want {
                     break;
--- a/src/coordination/room.rs
+++ b/src/coordination/room.rs
@@ -96,8 +96,17 @@
 pub struct Index {
     pools: Vec<Pool>,
     places: HashMap<Name, Place>,
+    /// Changes whenever a pool gets its first machine or loses its last one.
+    pub(super) version: u64,
+    /// Needs for which no machine of these pools has room, as found by a look
+    /// at all of them. Room only comes free one machine at a time, so this
+    /// holds until one of them does (see `grew`).
+    full: Vec<(Vec<usize>, Room)>,
 }
 
+/// Most such needs remembered; any more are looked up again.
+const FULL: usize = 64;
+
 impl Index {
     /// Takes a machine out.
     pub(super) fn remove(&mut self, name: &str) {
@@ -108,6 +117,9 @@
         if let Ok(at) = pool.place(place.cpus, name) {
             pool.by_room.remove(at);
         }
+        if pool.by_room.is_empty() {
+            self.version += 1;
+        }
         if let Some(at) = place.short {
             pool.short.swap_remove(at);
             if let Some(p) = pool.short.get(at).and_then(|n| self.places.get_mut(n)) {
@@ -142,6 +154,9 @@
         if let Err(to) = pool.place(free_cpus, name) {
             pool.by_room.insert(to, (free_cpus, name.clone()));
         }
+        if pool.by_room.len() == 1 {
+            self.version += 1;
+        }
         let place = Place {
             pool: at,
             cpus: free_cpus,
@@ -172,6 +187,25 @@
         &self.pools[at]
     }
 
+    /// A machine has this much room now, and had less.
+    pub(super) fn grew(&mut self, free: &Room) {
+        self.full.retain(|(_, need)| !free.holds(need));
+    }
+
+    /// No machine of the pools has room for this.
+    pub(super) fn set_full(&mut self, pools: &[usize], need: Room) {
+        if self.full.len() < FULL {
+            self.full.push((pools.to_vec(), need));
+        }
+    }
+
+    /// Whether it is known that no machine of the pools has room for this.
+    pub(super) fn is_full(&self, pools: &[usize], need: &Room) -> bool {
+        self.full
+            .iter()
+            .any(|(p, full)| need.holds(full) && p == pools)
+    }
+
     /// How many machines of the pools have this many CPUs free.
     pub(super) fn roomy(&self, pools: &[usize], cpus: f64) -> usize {
         let roomy = |p: &Pool| p.by_room.len() - p.first(cpus);
--- a/tests/vouch.rs
+++ b/tests/vouch.rs
@@ -12,7 +12,8 @@
 fn how_long_an_owner_answers_without_contact() {
     let spans = Spans::new(LIFE_S, 60.0);
     // (controllers, vouches as (peer, asked at), now, may answer); last check at 0.
-    let cases: [(usize, &[(&str, f64)], f64, bool); 8] = [
+    type Case<'a> = (usize, &'a [(&'a str, f64)], f64, bool);
+    let cases: [Case; 8] = [
         (5, &[], 5.9, true),
         (5, &[], 6.1, false),
         (5, &[("a", 6.0)], 6.1, false),
@@ -59,18 +60,18 @@
         let mut now = 0.0;
         while now < 70.0 {
             now += 0.1;
-            for peer in 0..nodes {
+            for (peer, promised) in promised.iter_mut().enumerate() {
                 let slow = rng.random_range(0.0..0.3);
                 let ask = rng.random_bool(0.2);
                 if peer != 0 && ask && rng.random_bool(reach) {
                     // The peer answers now, the answer arrives a little later.
-                    let knows = promised[peer] || (peer == 1 && now >= taken);
+                    let knows = *promised || (peer == 1 && now >= taken);
                     if !knows {
                         answers.push((now + slow, true, peer, now));
                     }
                 }
                 if peer != 1 && now >= taken && rng.random_bool(promise) {
-                    promised[peer] = true;
+                    *promised = true;
                     deposed |= peer == 0;
                     answers.push((now + slow, false, peer, now));
                 }
