--- a/src/app.rs
+++ b/src/app.rs
@@ -114,7 +114,7 @@
                 let now = node.now();
                 if let Some(core) = node.core.borrow_mut().as_mut() {
                     core.job_added(record, version, Marks::default());
-                    core.place(now);
+                    core.place_news(now);
                 }
             }
             dispatch::drain(&node);
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -76,6 +76,8 @@
     pub(super) index: Index,
     /// Machines with tasks in their queue, and some that had.
     pub(super) queued: BTreeSet<Name>,
+    /// Room of machines that have more of it than at the last pass.
+    pub(super) grown: Vec<Room>,
     /// Machines where a bound task may start now.
     pub(super) freed: BTreeSet<Name>,
     /// Attempts being stopped, and some that were.
@@ -105,6 +107,7 @@
             now: 0.0,
             index: Index::default(),
             queued: BTreeSet::new(),
+            grown: Vec::new(),
             freed: BTreeSet::new(),
             stopping: BTreeSet::new(),
             order: Order::default(),
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -50,7 +50,7 @@
                 if core.fence.base_term == base {
                     core.called(&name, &call, result, now);
                     if core.dirty {
-                        core.place(now);
+                        core.place_news(now);
                     }
                 }
             }
@@ -79,9 +79,7 @@
             if let Some(core) = this.node.core.borrow_mut().as_mut() {
                 core.tick(now, this.node.confirmed.get());
                 core.probes(now);
-                if core.dirty || this.beats % 4 == 0 {
-                    core.place(now);
-                }
+                core.place(now);
                 if this.beats % 32 == 0 {
                     core.sweep();
                     tracing::debug!("{}", core.summary());
--- a/src/coordination/job.rs
+++ b/src/coordination/job.rs
@@ -2,6 +2,7 @@
 
 use crate::protocol::job::{JobSpec, Shape, Urgency};
 use crate::storage::marks::Marks;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::rc::Rc;
 
@@ -64,6 +65,9 @@
     pub guaranteed: bool,
     /// Pools of machines that it may use, for this version of the index.
     pub pools: (u64, Rc<[usize]>),
+    /// Tasks began to wait since it was last placed as far as it went; the
+    /// order of jobs looks at this without looking for the job.
+    pub fresh: Rc<Cell<bool>>,
     /// Whether an aim was in reach when the order was last made (see `order`).
     pub pressed: bool,
 }
@@ -88,6 +92,7 @@
             not_before: 0.0,
             guaranteed: false,
             pools: (u64::MAX, Rc::from([])),
+            fresh: Rc::new(Cell::new(true)),
             pressed: true,
         };
         job.merge_done(&done);
@@ -148,6 +153,7 @@
     pub fn push(&mut self, task: u32) {
         let known = task < self.next && !self.on.contains_key(&task);
         if !self.over && known && !self.done.contains(task) {
+            self.fresh.set(true);
             self.back.insert(task);
         }
     }
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -217,7 +217,7 @@
             if core.fence.base_term == term {
                 core.job_added(record, entry.version, Marks::default());
                 if core.dirty {
-                    core.place(now);
+                    core.place_news(now);
                 }
             }
         }
--- a/src/coordination/order.rs
+++ b/src/coordination/order.rs
@@ -4,17 +4,33 @@
 use super::core::Core;
 use super::job::{Job, Name};
 use super::preempt::dearness;
+use super::room::Room;
 use crate::protocol::job::Shape;
 use crate::protocol::settings::Objective;
+use std::cell::Cell;
+use std::rc::Rc;
 
 /// Rank of jobs that can meet none of their aims any more.
 const LATE: u8 = 5;
 
+/// A job in the order.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub rank: u8,
+    /// Order within the rank, lowest first.
+    within: f64,
+    pub name: Name,
+    /// What a task takes.
+    pub need: Room,
+    /// See `Job::fresh`.
+    pub fresh: Rc<Cell<bool>>,
+}
+
 /// The order of jobs, made anew from time to time.
 #[derive(Debug, Default)]
 pub struct Order {
-    /// Unfinished jobs: rank, order within it, name.
-    pub(super) jobs: Vec<(u8, f64, Name)>,
+    /// Unfinished jobs in the order of precedence.
+    pub(super) jobs: Vec<Entry>,
     /// The same jobs, those first whose stopping is cheapest.
     pub(super) victims: Vec<(f64, Name)>,
     /// Jobs came or went since it was made.
@@ -65,16 +81,23 @@
             };
             let pressed = self.pressed(job, now);
             let (rank, within) = self.precedence(job, now);
-            order.jobs.push((rank, within, name.clone()));
+            order.jobs.push(Entry {
+                rank,
+                within,
+                name: name.clone(),
+                need: Room::of_task(&job.spec),
+                fresh: job.fresh.clone(),
+            });
             if let Some(job) = self.jobs.get_mut(&name) {
                 job.pressed = pressed;
                 order.victims.push((dearness(job), name));
             }
         }
         order.jobs.sort_by(|a, b| {
-            a.0.cmp(&b.0)
-                .then(a.1.total_cmp(&b.1))
-                .then_with(|| a.2.cmp(&b.2))
+            a.rank
+                .cmp(&b.rank)
+                .then(a.within.total_cmp(&b.within))
+                .then_with(|| a.name.cmp(&b.name))
         });
         order
             .victims
--- a/src/coordination/place.rs
+++ b/src/coordination/place.rs
@@ -107,6 +107,7 @@
             let grown = usable && (!m.indexed || !m.free.holds(&free));
             if grown {
                 self.index.grew(&free);
+                self.grown.push(free);
             }
             m.free = free;
             m.indexed = usable;
@@ -159,10 +160,24 @@
         best.map(|(zone, _)| zone.to_string())
     }
 
+    /// A pass over what may be placed since the last one: jobs with tasks that
+    /// began to wait, and those that fit where room came free. What was passed
+    /// over for other reasons (a limit, no victims) waits for the next full
+    /// pass, a part of a report interval later.
+    pub fn place_news(&mut self, now: f64) {
+        self.pass(now, false);
+    }
+
     /// One pass over all that waits.
     pub fn place(&mut self, now: f64) {
+        self.pass(now, true);
+    }
+
+    fn pass(&mut self, now: f64, full: bool) {
         self.now = now;
         if !self.gate_open() {
+            // All jobs are news to the first pass.
+            self.grown.clear();
             return;
         }
         self.dirty = false;
@@ -174,13 +189,18 @@
             ..Pass::default()
         };
         let freed: Vec<Name> = std::mem::take(&mut self.freed).into_iter().collect();
+        let grown = std::mem::take(&mut self.grown);
         let order = std::mem::take(&mut self.order.jobs);
         let mut at = 0;
         while at < order.len() {
-            let rank = order[at].0;
+            let rank = order[at].rank;
             self.start_bound(rank, &freed, &mut pass, now);
-            while at < order.len() && order[at].0 == rank {
-                self.place_job(&order[at].2, &mut pass, now);
+            while at < order.len() && order[at].rank == rank {
+                let entry = &order[at];
+                let news = entry.fresh.get() || grown.iter().any(|g| g.holds(&entry.need));
+                if full || news {
+                    self.place_job(&entry.name, &mut pass, now);
+                }
                 at += 1;
             }
         }
@@ -209,7 +229,11 @@
         let Some(job) = self.jobs.get(name) else {
             return;
         };
-        if job.waiting() == 0 || job.not_before > now {
+        if job.not_before > now {
+            return;
+        }
+        job.fresh.set(false);
+        if job.waiting() == 0 {
             return;
         }
         let (spec, team) = (job.spec.clone(), job.team);
@@ -253,6 +277,7 @@
             let Some(machine) = joined else {
                 if let Some(job) = self.jobs.get_mut(name) {
                     job.push(index);
+                    job.fresh.set(false);
                 }
                 return;
             };
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -121,7 +121,7 @@
         let mut commands = Vec::new();
         if !stale {
             if self.dirty {
-                self.place(now);
+                self.place_news(now);
             }
             commands = self.orders(&name, order, now);
         }
