--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -80,6 +80,11 @@
                 core.tick(now, this.node.confirmed.get());
                 core.probes(now);
                 core.place(now);
+                if this.beats % 4 == 0 {
+                    if let Some(missing) = core.unaccounted() {
+                        tracing::info!(term = core.term, missing, "machines not accounted for yet");
+                    }
+                }
                 if this.beats % 32 == 0 {
                     core.sweep();
                     tracing::debug!("{}", core.summary());
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -43,7 +43,10 @@
             let mut books = Books::default();
             let mut base = 0;
             loop {
-                actix_rt::time::sleep(Duration::from_secs(1)).await;
+                // Silent machines hold up all placing after a takeover.
+                let gate = node.core.borrow().as_ref().is_none_or(|c| c.fence.open);
+                let pause = if gate { 1.0 } else { 0.25 };
+                actix_rt::time::sleep(Duration::from_secs_f64(pause)).await;
                 let term = node.core.borrow().as_ref().map(|c| c.fence.base_term);
                 // Only while nobody can have taken the share: a deposed owner
                 // would see all machines go silent and return them.
@@ -108,7 +111,8 @@
 
 async fn round(node: &Rc<Node>, books: &mut Books) {
     let lag = node.settings.cluster.cloud.list_lag_s;
-    if node.now() - books.listed_at > lag / 2.0 {
+    let gate = node.core.borrow().as_ref().is_some_and(|c| c.fence.open);
+    if gate && node.now() - books.listed_at > lag / 2.0 {
         if let Ok(list) = node.cloud.machines().await {
             books.listed_at = node.now();
             books.list = list;
--- a/src/coordination/place.rs
+++ b/src/coordination/place.rs
@@ -60,11 +60,7 @@
     /// Whether placing is allowed yet.
     pub fn gate_open(&mut self) -> bool {
         if !self.fence.open {
-            let waiting = self.machines.values().any(|m| {
-                let unknown = m.recorded && !m.fenced && m.standing != Standing::Expired;
-                unknown || m.strangers > 0
-            });
-            if !waiting {
+            if self.unaccounted() == Some(0) {
                 tracing::info!(term = self.term, "all machines accounted for: placing");
                 self.fence.open = true;
             }
@@ -72,6 +68,16 @@
         self.fence.open
     }
 
+    /// How many machines hold up placing after a takeover, while any do.
+    pub fn unaccounted(&self) -> Option<usize> {
+        let missing = |m: &&Machine| {
+            let unknown = m.recorded && !m.fenced && m.standing != Standing::Expired;
+            unknown || m.strangers > 0
+        };
+        let closed = !self.fence.open;
+        closed.then(|| self.machines.values().filter(missing).count())
+    }
+
     pub(super) fn usable(&self, m: &Machine, now: f64) -> bool {
         m.recorded
             && m.fenced
