Sample first among the machines that have the image

Cause: a task started wherever room was waits 3 to 8 s for its image; half of the redemptions' 3 s aim and a tenth of each short task's time. Two choices are now drawn among holders of the image with room, else among all with room.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -76,6 +76,8 @@
     pub(super) index: Index,
     /// Machines with tasks in their queue, and some that had.
     pub(super) queued: BTreeSet<Name>,
+    /// Machines that have an image, and some that had.
+    pub(super) holders: HashMap<String, Vec<Name>>,
     /// Room of machines that have more of it than at the last pass.
     pub(super) grown: Vec<Room>,
     /// Machines where a bound task may start now.
@@ -107,6 +109,7 @@
             now: 0.0,
             index: Index::default(),
             queued: BTreeSet::new(),
+            holders: HashMap::new(),
             grown: Vec::new(),
             freed: BTreeSet::new(),
             stopping: BTreeSet::new(),
@@ -210,6 +213,13 @@
             .collect();
         self.jobs
             .retain(|name, job| !over(job) || shown.contains(name));
+        let machines = &self.machines;
+        self.holders.retain(|image, names| {
+            names.sort();
+            names.dedup();
+            names.retain(|n| machines.get(n).is_some_and(|m| m.has_image(image)));
+            !names.is_empty()
+        });
     }
 
     /// Wants an attempt stopped.
--- a/src/coordination/place.rs
+++ b/src/coordination/place.rs
@@ -320,9 +320,10 @@
         })
     }
 
-    /// Samples among the machines with room and takes the best of the sample:
-    /// one that has the image, then the one with fewer bound waiting tasks,
-    /// then the tighter one, which leaves whole machines to large tasks.
+    /// Samples among the machines with room, first among those that have the
+    /// image, and takes the best of the sample: one that has the image, then
+    /// the one with fewer bound waiting tasks, then the tighter one, which
+    /// leaves whole machines to large tasks.
     fn draw_open(
         &mut self,
         spec: &JobSpec,
@@ -332,8 +333,26 @@
     ) -> Option<Name> {
         let need = Room::of_task(spec);
         let n = self.index.roomy(pools, spec.cpus);
+        let mut picks = Vec::new();
+        if n > 0 {
+            let holders = self.holders.remove(&spec.image).unwrap_or_default();
+            picks = self.sample(holders.len(), task, pools, false, |core, at| {
+                let name = holders.get(at)?;
+                let m = core.machines.get(name)?;
+                let pool = core.index.pool_of(name)?;
+                let fits = m.free.holds(&need) && m.has_image(&spec.image);
+                let open = pools.contains(&pool) && core.usable(m, now) && !m.knows(task);
+                (fits && open).then(|| name.clone())
+            });
+            if !holders.is_empty() {
+                self.holders.insert(spec.image.clone(), holders);
+            }
+        }
+        if let Some(best) = self.best(picks, spec) {
+            return Some(best);
+        }
         let mut room = false;
-        let picks = self.sample(n, task, pools, |core, at| {
+        let picks = self.sample(n, task, pools, true, |core, at| {
             let name = core.index.roomy_at(pools, spec.cpus, at)?;
             let m = core.machines.get(name)?;
             // An attempt that is not forgotten yet would refuse it.
@@ -345,6 +364,10 @@
             // Every one was looked at: not again before one has more room.
             self.index.set_full(pools, need);
         }
+        self.best(picks, spec)
+    }
+
+    fn best(&self, picks: Vec<Name>, spec: &JobSpec) -> Option<Name> {
         picks.into_iter().min_by(|a, b| {
             let (a, b) = (&self.machines[a], &self.machines[b]);
             b.has_image(&spec.image)
@@ -358,7 +381,7 @@
     /// shorter queue.
     fn draw_short(&mut self, task: &TaskId, pools: &[usize], now: f64) -> Option<Name> {
         let n = self.index.short(pools);
-        let picks = self.sample(n, task, pools, |core, at| {
+        let picks = self.sample(n, task, pools, true, |core, at| {
             let name = core.index.short_at(pools, at)?;
             let m = core.machines.get(name)?;
             core.usable(m, now).then(|| name.clone())
@@ -370,13 +393,15 @@
     }
 
     /// Draws up to `sample` different machines out of `n` candidates that
-    /// `accept` lets pass; a machine on which a task of the job failed only if
-    /// it has failed on all.
+    /// `accept` lets pass, and looks at all if the draws find none and `all` is
+    /// set; a machine on which a task of the job failed only if it has failed
+    /// on all.
     fn sample(
         &mut self,
         n: usize,
         task: &TaskId,
         pools: &[usize],
+        all: bool,
         mut accept: impl FnMut(&Core, usize) -> Option<Name>,
     ) -> Vec<Name> {
         let want = self.params.policy.sample.min(n);
@@ -399,7 +424,7 @@
             let at = rng.random_range(0..n);
             picks.extend(good(self, at, &picks));
         }
-        if picks.is_empty() {
+        if picks.is_empty() && all {
             let from = rng.random_range(0..n);
             for step in 0..n {
                 picks.extend(good(self, (from + step) % n, &picks));
--- a/src/coordination/room.rs
+++ b/src/coordination/room.rs
@@ -168,6 +168,11 @@
         self.places.insert(name.clone(), place);
     }
 
+    /// The pool that has the machine.
+    pub(super) fn pool_of(&self, name: &str) -> Option<usize> {
+        self.places.get(name).map(|p| p.pool)
+    }
+
     /// The pools that the job may use at all.
     pub(super) fn pools_for(
         &self,
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -352,6 +352,10 @@
                     .get(&m.info.kind)
                     .map_or(f64::MAX, |t| t.cache_gb);
                 if fresh || phase == Phase::Running && started == Some(now) {
+                    if !m.has_image(&image) {
+                        let holders = self.holders.entry(image.clone()).or_default();
+                        holders.push(name.clone());
+                    }
                     m.used_image(&image, gb, cache);
                 }
             }
