--- a/src/coordination/place.rs
+++ b/src/coordination/place.rs
@@ -59,11 +59,9 @@
 impl Core {
     /// Whether placing is allowed yet.
     pub fn gate_open(&mut self) -> bool {
-        if !self.fence.open {
-            if self.unaccounted() == Some(0) {
-                tracing::info!(term = self.term, "all machines accounted for: placing");
-                self.fence.open = true;
-            }
+        if self.unaccounted() == Some(0) {
+            tracing::info!(term = self.term, "all machines accounted for: placing");
+            self.fence.open = true;
         }
         self.fence.open
     }
--- /dev/null
+++ b/tests/scale.rs
@@ -0,0 +1,181 @@
+//! What a large fleet asks of the core and its records: lists above one value,
+//! room that is not looked for twice, reports that need no more than an answer,
+//! zones that fall silent as a whole.
+
+mod common;
+
+use common::*;
+use foxspur::coordination::core::Core;
+use foxspur::coordination::sessions::Answer;
+use foxspur::protocol::job::Urgency;
+use foxspur::protocol::worker::{Cause, Command, Phase, ReportHead};
+use foxspur::storage::chunks::{fitting, plan};
+use foxspur::storage::records::{chunk_of, machines};
+
+fn starts(core: &mut Core, id: &str, seq: u64, now: f64) -> Vec<String> {
+    let Answer::Orders(reply) = core.hello(&report(id, 1, seq, 5, &[]), now) else {
+        panic!("{id} was not answered");
+    };
+    let start = |c: &Command| match c {
+        Command::Start { task, .. } => Some(task.clone()),
+        _ => None,
+    };
+    reply.commands.iter().filter_map(start).collect()
+}
+
+/// Guards against a record above one value or transaction, which made all
+/// machines beyond some 550 useless, and against rewriting all of it for one.
+#[test]
+fn a_machine_list_in_chunks() {
+    let fleet: Vec<_> = (0..1300)
+        .map(|i| machine(&format!("m-{i:06}"), "a", false))
+        .collect();
+    let first = plan(&[], &fleet, 14_000);
+    assert!(first.len() > 5, "{}", first.len());
+    let written: Vec<_> = first.iter().map(|(_, c)| c.clone()).collect();
+    assert_eq!(written.iter().map(Vec::len).sum::<usize>(), fleet.len());
+    for chunk in &written {
+        assert!(serde_json::to_vec(chunk).unwrap().len() < 16 * 1024);
+    }
+    let n = fitting(&first, 24, 48 * 1024);
+    let bytes = serde_json::to_vec(&first[..n]).unwrap().len();
+    assert!(
+        (1..first.len()).contains(&n) && bytes < 64 * 1024,
+        "{n} {bytes}"
+    );
+    assert!(plan(&written, &fleet, 14_000).is_empty());
+    // One goes, one comes, one moves: the chunks of these alone.
+    let mut wanted = fleet.clone();
+    wanted.remove(700);
+    wanted.push(machine("m-new", "b", true));
+    wanted[3].addr = "10.0.0.1:9".into();
+    let changes = plan(&written, &wanted, 14_000);
+    assert!(changes.len() <= 3, "{}", changes.len());
+    let mut after = written;
+    for (at, chunk) in changes {
+        after.resize_with(after.len().max(at + 1), Vec::new);
+        after[at] = chunk;
+    }
+    let mut names: Vec<_> = after.concat();
+    names.sort_by(|a, b| a.id.cmp(&b.id));
+    wanted.sort_by(|a, b| a.id.cmp(&b.id));
+    assert_eq!(names, wanted);
+    for (key, at) in [(machines(17), Some(17)), ("fx/mach/0/x".into(), None)] {
+        assert_eq!(chunk_of(&key), at, "{key}");
+    }
+}
+
+/// What was found to have no room is looked for again once room comes free,
+/// also room that lacked in memory and not in CPUs.
+#[test]
+fn room_that_comes_free_is_found() {
+    for (cpus, memory_gb) in [(1.4, 20.0), (8.0, 1.0), (0.3, 31.0)] {
+        let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1", "m2"]);
+        // A task that waits in a queue would start from there.
+        core.params.policy.queue_depth = 0;
+        for id in ["m1", "m2"] {
+            starts(&mut core, id, 1, 0.0);
+        }
+        let mut job = spec("run-1", "t", Urgency::Standard, 3, cpus);
+        job.memory_gb = memory_gb;
+        add(&mut core, job, 0.0);
+        core.place(0.1);
+        let on = ["m1", "m2"].map(|id| starts(&mut core, id, 2, 0.5));
+        assert_eq!(on.concat().len(), 2, "one on each machine");
+        core.place(0.6);
+        core.place(0.7);
+        let ((task, attempt), _) = core.machines["m1"].active.first_key_value().unwrap();
+        let (task, attempt) = (task.wire(), *attempt);
+        let done = [(task.as_str(), attempt, Phase::Exited, Some(Cause::Done))];
+        let Answer::Orders(reply) = core.hello(&report("m1", 1, 3, 5, &done), 1.0) else {
+            panic!();
+        };
+        let again = |c: &&Command| matches!(c, Command::Start { .. });
+        assert_eq!(
+            reply.commands.iter().filter(again).count(),
+            1,
+            "{cpus} {memory_gb}"
+        );
+    }
+}
+
+/// A report that repeats the one before is known by its text; anything that
+/// must be looked at is not taken for a repetition.
+#[test]
+fn reports_that_repeat() {
+    let tasks = r#"[{"shard":"run-1/0","try":7,"status":"running"}]"#;
+    let other = r#"[{"shard":"run-1/0","try":7,"status":"saving"}]"#;
+    let head = |session: u64, seq: u64, epoch: u64, warning: &str, tasks: &str| {
+        format!(
+            r#"{{"host":"m1","endpoint":"127.0.0.1:1","flavor":"small","site":"a","standby":false,
+            "tenure":{session},"serial":{seq},"epoch":{epoch},"warning_s":{warning},"shards":{tasks}}}"#
+        )
+    };
+    for (text, stopped, repeats) in [
+        (head(1, 3, 5, "null", tasks), false, true),
+        (head(1, 3, 5, "null", other), false, false),
+        (head(2, 3, 5, "null", tasks), false, false),
+        (head(1, 2, 5, "null", tasks), false, false),
+        (head(1, 3, 6, "null", tasks), false, false),
+        (head(1, 3, 5, "20.0", tasks), false, false),
+        // There is something to tell the worker.
+        (head(1, 3, 5, "null", tasks), true, false),
+    ] {
+        let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+        add(
+            &mut core,
+            spec("run-1", "t", Urgency::Standard, 1, 1.0),
+            0.0,
+        );
+        let running = [("run-1/0", 7, Phase::Running, None)];
+        core.hello(&report("m1", 1, 1, 5, &running), 0.5);
+        core.hello(&report("m1", 1, 2, 5, &running), 1.0);
+        core.remember("m1", (1, 2), tasks);
+        if stopped {
+            core.job_over("run-1");
+        }
+        let head: ReportHead = serde_json::from_str(&text).unwrap();
+        assert_eq!(core.repeats(&head, 2.0), repeats, "{text} {stopped}");
+        let answered = core.machines["m1"].answered;
+        assert_eq!(answered, Some(if repeats { 2.0 } else { 1.0 }));
+    }
+}
+
+/// Guards against starting a task elsewhere that runs already: the former
+/// owner took its job in and started it before we knew of the job, so the task
+/// was a stranger, being stopped, when the job became known.
+#[test]
+fn a_job_that_becomes_known_after_its_task() {
+    let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1", "m2"]);
+    starts(&mut core, "m2", 1, 0.0);
+    let running = [("run-1/0", 7, Phase::Running, None)];
+    core.hello(&report("m1", 1, 1, 5, &running), 0.1);
+    add(
+        &mut core,
+        spec("run-1", "t", Urgency::Standard, 1, 1.0),
+        0.2,
+    );
+    // It is still there, though it was told to stop.
+    core.hello(&report("m1", 1, 2, 5, &running), 0.3);
+    core.place(0.4);
+    assert!(core.gate_open());
+    assert!(starts(&mut core, "m2", 2, 0.5).is_empty());
+    core.hello(&report("m1", 1, 3, 5, &[]), 0.6);
+    core.place(0.7);
+    let on = starts(&mut core, "m2", 3, 0.8).len() + starts(&mut core, "m1", 4, 0.9).len();
+    assert_eq!(on, 1);
+}
+
+/// Guards against returning the machines of a zone that is only cut off, and
+/// against renting there: most of its machines fell silent together.
+#[test]
+fn a_zone_that_falls_silent_as_a_whole_is_cut_off() {
+    for (silent, cut) in [(0, false), (2, false), (3, true), (4, true)] {
+        let names = ["m1", "m2", "m3", "m4"];
+        let mut core = core(vec![team("t", 0.0, 0.0)], 5, &names);
+        for name in &names[silent..] {
+            core.hello(&report(name, 1, 1, 5, &[]), 100.0);
+        }
+        assert_eq!(!core.cut_zones(101.0).is_empty(), cut, "{silent} silent");
+    }
+}
