Simulation: a fleet of three hundred, and owners that hear of new jobs late

Every owner now hears of a job in its own time, a former one perhaps first; 300 machines with cuts, hangs, takeovers and late messages in one course.

--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -18,7 +18,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 const STEP_S: f64 = 0.1;
-const LIMIT: f64 = 20.0;
 /// For how long a former owner without contact goes on.
 const LINGER_S: f64 = 25.0;
 
@@ -60,6 +59,10 @@
     /// Messages: when, what.
     wire: Vec<(f64, Message)>,
     started: usize,
+    /// The team's limit.
+    limit: f64,
+    /// Jobs that an owner does not know of yet: when it will, its term.
+    unheard: Vec<(f64, u64, LiveJob, u64)>,
 }
 
 #[allow(clippy::large_enum_variant)]
@@ -125,7 +128,7 @@
                         .map(|((t, _), _)| self.cpus(t))
                         .sum();
                     let more = self.cpus(task);
-                    assert!(used + more <= LIMIT + 1e-6, "quota: {used} + {more}");
+                    assert!(used + more <= self.limit + 1e-6, "quota: {used} + {more}");
                     let until = self.now + self.rng.random_range(1.0..15.0);
                     self.started += 1;
                     self.workers[w].tasks.insert(
@@ -433,6 +436,23 @@
         }
     }
 
+    /// Owners hear of new jobs.
+    fn hear(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.unheard)
+            .into_iter()
+            .partition(|u| u.0 <= now);
+        self.unheard = later;
+        for (_, base, record, version) in due {
+            // Changes come in order: one that is over is not news any more.
+            if self.live.contains_key(&record.spec.id) {
+                if let Some(core) = self.owner(base) {
+                    core.job_added(record, version, Marks::default());
+                }
+            }
+        }
+    }
+
     fn take_over(&mut self, crash: bool) {
         self.term += 1;
         if crash {
@@ -441,7 +461,7 @@
             old.1 = self.now + LINGER_S;
         }
         let quiet = self.owners.is_empty().then_some(self.now);
-        let teams = vec![team("t", 0.0, LIMIT)];
+        let teams = vec![team("t", 0.0, self.limit)];
         let fence = Fence::new(self.term, quiet);
         let mut core = Core::new(params(teams), self.term, fence, self.term);
         core.set_types(&types());
@@ -457,7 +477,7 @@
     }
 }
 
-fn play(seed: u64) -> (usize, usize) {
+fn play(seed: u64, workers: usize, until: f64) -> (usize, usize) {
     let mut world = World {
         now: 0.0,
         rng: StdRng::seed_from_u64(seed),
@@ -470,8 +490,10 @@
         owners: Vec::new(),
         wire: Vec::new(),
         started: 0,
+        limit: 5.0 * workers as f64,
+        unheard: Vec::new(),
     };
-    for i in 0..4 {
+    for i in 0..workers {
         world.workers.push(Worker {
             id: format!("m-{i}"),
             session: 1,
@@ -488,23 +510,27 @@
     world.take_over(true);
     let mut jobs = 0;
     let mut ids = BTreeSet::new();
-    while world.now < 500.0 {
+    while world.now < until {
         world.now += STEP_S;
         let now = world.now;
-        let calm = now > 300.0;
-        if !calm && world.rng.random_bool(0.02) {
+        let calm = now > until - 200.0;
+        if !calm && world.rng.random_bool(0.005 * workers.min(20) as f64) {
             jobs += 1;
             let id = format!("run-{jobs}");
             let cpus = world.cpus(&format!("{id}/0"));
-            let tasks = world.rng.random_range(1..8);
+            let most = (2 * workers).min(8 + workers / 4) as u32;
+            let tasks = world.rng.random_range(1..most);
             let record = live(spec(&id, "t", Urgency::Standard, tasks, cpus), now);
             world.version += 1;
             let version = world.version;
             world
                 .live
                 .insert(id.clone(), (record.clone(), Marks::default(), version));
-            for (core, _) in &mut world.owners {
-                core.job_added(record.clone(), version, Marks::default());
+            // Each owner hears of it in its own time, a former one perhaps first.
+            for (core, _) in &world.owners {
+                let at = now + world.rng.random_range(0.0..3.0);
+                let base = core.fence.base_term;
+                world.unheard.push((at, base, record.clone(), version));
             }
             ids.insert(id);
         }
@@ -521,8 +547,12 @@
             let crash = world.rng.random_bool(0.5);
             world.take_over(crash);
         }
-        if !calm && world.rng.random_bool(0.005) {
-            let w = world.rng.random_range(0..4);
+        if !calm
+            && world
+                .rng
+                .random_bool((0.001 * workers as f64).clamp(0.005, 0.1))
+        {
+            let w = world.rng.random_range(0..workers);
             let until = now + world.rng.random_range(1.0..20.0);
             if world.rng.random_bool(0.5) {
                 world.workers[w].hung_until = until;
@@ -530,6 +560,7 @@
                 world.workers[w].cut_until = until;
             }
         }
+        world.hear();
         world.deliver();
         world.workers_step();
         world.owners_step();
@@ -565,7 +596,7 @@
 fn rules_hold_while_owners_and_messages_come_late() {
     let mut started = 0;
     for seed in 0..40 {
-        let (n, jobs) = play(seed);
+        let (n, jobs) = play(seed, 4, 500.0);
         assert!(jobs > 0);
         started += n;
     }
@@ -574,3 +605,12 @@
         "only {started} starts: the check is too weak"
     );
 }
+
+#[test]
+fn rules_hold_on_a_fleet_of_hundreds() {
+    let (started, jobs) = play(1, 300, 300.0);
+    assert!(
+        jobs > 20 && started > 1000,
+        "only {started} starts of {jobs} jobs: the check is too weak"
+    );
+}
