--- /dev/null
+++ b/tests/tenure.rs
@@ -0,0 +1,200 @@
+//! What an owner may conclude from answers that come late, one case each; the
+//! simulation in tests/pause.rs looks for the cases that are not here.
+
+#[path = "common/store.rs"]
+mod store;
+
+use foxspur::coordination::member::taking::Claim;
+use foxspur::coordination::member::tenure::{LeaseStep, Tenure, Terms};
+use foxspur::protocol::state::{Entry, Txn};
+use foxspur::storage::records::{self, Alive};
+use store::Store;
+
+const LIFE_S: f64 = 4.0;
+
+fn tenure(me: &str, peers: &[&str], boot: u64) -> Tenure {
+    let terms = Terms {
+        me: me.into(),
+        peers: peers.iter().map(|p| p.to_string()).collect(),
+        teams: Vec::new(),
+        life_s: LIFE_S,
+        quiet_s: 96.0,
+        lease_s: 16.0,
+        bound_ms: 1000,
+    };
+    Tenure::new(terms, boot)
+}
+
+/// Gets a lease and writes the alive key, as the lease loop does.
+fn enlist(t: &mut Tenure, me: &str, store: &mut Store, now: f64) -> u64 {
+    let lease = store.grant(LIFE_S, now);
+    t.granted(lease);
+    let LeaseStep::Write { lease, boot } = t.lease_step(now) else {
+        panic!("nothing to write");
+    };
+    let key = records::alive(me);
+    let txn = Txn::default().put_leased(&key, &Alive { boot }, Some(lease));
+    let version = store.apply(&txn).expect("written");
+    t.alive_written(lease, boot, version);
+    lease
+}
+
+fn read(t: &mut Tenure, store: &Store) {
+    t.view.take_list(&store.list(records::AREA), store.revision);
+}
+
+fn follow(t: &mut Tenure, store: &Store, since: u64) {
+    for (version, key, value) in store.log.iter().filter(|l| l.0 > since).cloned() {
+        match value {
+            Some(value) => t.view.take_entry(&Entry {
+                key,
+                value,
+                version,
+            }),
+            None => t.view.take_deletion(&key, version),
+        }
+    }
+}
+
+/// Two controllers; the first owns the share under term 1 since 0.
+struct Pair {
+    store: Store,
+    a: Tenure,
+    b: Tenure,
+    a_lease: u64,
+}
+
+fn pair() -> Pair {
+    let mut store = Store::default();
+    let mut a = tenure("a", &["b"], 1);
+    let mut b = tenure("b", &["a"], 2);
+    let a_lease = enlist(&mut a, "a", &mut store, 0.0);
+    read(&mut a, &store);
+    let claim = a.claim(0.0, 0).expect("free");
+    let version = store.apply(&claim.txn).expect("taken");
+    assert!(a.claimed(&claim, version, 0.0) && a.begin(1));
+    enlist(&mut b, "b", &mut store, 0.0);
+    read(&mut b, &store);
+    Pair {
+        store,
+        a,
+        b,
+        a_lease,
+    }
+}
+
+impl Pair {
+    /// A's lease ends, b hears of it, and makes its claim.
+    fn lapse(&mut self) -> Claim {
+        let since = self.store.revision;
+        self.store.end(self.a_lease);
+        follow(&mut self.b, &self.store, since);
+        self.b.claim(5.0, 5000).expect("the owner is gone")
+    }
+
+    /// A notices that its lease ended, and gets another one.
+    fn back(&mut self) -> u64 {
+        self.a.lease_over(self.a_lease);
+        self.a_lease = enlist(&mut self.a, "a", &mut self.store, 5.5);
+        self.a_lease
+    }
+}
+
+/// Guards against a claim that leaves a controller just before the owner's lease
+/// comes back and is carried out when that has ended as well: by the time of its
+/// making the former owner would long be silent, and it is not.
+#[test]
+fn a_claim_made_before_the_owner_came_back_is_void() {
+    let mut p = pair();
+    let late = p.lapse();
+    p.back();
+    let again = p.a.reassert(5.6).expect("the lease is new");
+    let version = p.store.apply(&again.txn).expect("still ours");
+    assert_eq!(p.a.rewritten(&again, version), Some(1));
+    assert_eq!(p.a.confirmed(), 5.6);
+    p.store.end(p.a_lease);
+    assert!(p.store.apply(&late.txn).is_err());
+}
+
+/// Guards against renewals of a lease got after the share was lost.
+#[test]
+fn a_new_lease_proves_nothing_before_the_record_is_written_under_it() {
+    let mut p = pair();
+    let claim = p.lapse();
+    let version = p.store.apply(&claim.txn).expect("taken over");
+    assert!(p.b.claimed(&claim, version, 5.1));
+    // A stood still and has heard of nothing.
+    let lease = p.back();
+    p.a.renewed(lease, 6.0);
+    assert_eq!(p.a.confirmed(), 0.0);
+    let again = p.a.reassert(6.1).expect("the lease is new");
+    assert!(p.store.apply(&again.txn).is_err());
+    // An old lease's renewal, answered late, says nothing new either.
+    p.a.renewed(lease - 1, 7.0);
+    assert!(!p.a.certain(7.0) && !p.a.entitled(7.0));
+}
+
+/// Guards against a takeover that was itself overtaken before its answer came:
+/// while the share was being taken, while it was being read, and by a promise.
+#[test]
+fn a_claim_overtaken_before_its_answer_begins_nothing() {
+    for (heard_before_answer, promised) in [(true, false), (false, false), (false, true)] {
+        let mut p = pair();
+        let claim = p.lapse();
+        let version = p.store.apply(&claim.txn).expect("taken over");
+        // B stands still; a is back and takes the share from it.
+        p.store.end(2);
+        p.back();
+        read(&mut p.a, &p.store);
+        assert!(p.a.deposed());
+        p.a.step_down(3);
+        let lease = p.a_lease;
+        let LeaseStep::Write { boot, .. } = p.a.lease_step(9.0) else {
+            panic!("the new incarnation is not written");
+        };
+        let key = records::alive("a");
+        let txn = Txn::default().put_leased(&key, &Alive { boot }, Some(lease));
+        let alive = p.store.apply(&txn).expect("written");
+        p.a.alive_written(lease, boot, alive);
+        let later = p.a.claim(9.0, 9000).expect("b's lease is gone");
+        p.store.apply(&later.txn).expect("taken back");
+        // B goes on.
+        if heard_before_answer {
+            follow(&mut p.b, &p.store, version - 1);
+            assert!(!p.b.claimed(&claim, version, 20.0));
+        } else {
+            assert!(p.b.claimed(&claim, version, 20.0));
+            match promised {
+                true => p.b.promise(later.share.term),
+                false => follow(&mut p.b, &p.store, version - 1),
+            }
+        }
+        assert!(!p.b.begin(claim.share.term) && !p.b.entitled(20.0));
+    }
+}
+
+/// Guards against an answer of an earlier look that wipes out what came since,
+/// and against an alive key of an earlier incarnation that stays.
+#[test]
+fn what_is_older_does_not_replace_what_is_newer() {
+    let mut p = pair();
+    let (old, at) = (p.store.list(records::AREA), p.store.revision);
+    p.store.end(p.a_lease);
+    p.back();
+    let again = p.a.reassert(5.6).expect("the lease is new");
+    p.store.apply(&again.txn).expect("still ours");
+    follow(&mut p.b, &p.store, at);
+    let known = p.b.view.share_version();
+    p.b.view.take_list(&old, at);
+    assert_eq!(p.b.view.share_version(), known);
+    // A look for the owner's key, begun before the record changed.
+    p.b.view.not_alive("a", at);
+    assert!(p.b.claim(6.0, 6000).is_none(), "its owner is alive");
+    // A write of an incarnation before this one comes late, over ours.
+    let key = records::alive("a");
+    let txn = Txn::default().put_leased(&key, &Alive { boot: 77 }, Some(p.a_lease));
+    let version = p.store.apply(&txn).expect("the lease lives");
+    assert!(matches!(p.a.lease_step(7.0), LeaseStep::Renew(_)));
+    p.a.view.see_alive("a".into(), 77, version);
+    assert!(matches!(p.a.lease_step(7.0), LeaseStep::Write { .. }));
+}
