Every attempt that may be on a machine counts, not the one seen first

Cause: the untraced ran_twice. Reports of different ages can show one task on two machines; only the first was counted as on, and when it went with its session the task started a third time while the other ran. Change: further attempts are kept beside the one on; a task waits again when the last is gone, and each counts for the team's limit.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -334,10 +334,8 @@
     pub(super) fn off(&mut self, key: &(TaskId, u64)) {
         let (task, attempt) = key;
         if let Some(job) = self.jobs.get_mut(&task.job) {
-            if job.on.get(&task.index).is_some_and(|(_, a)| a == attempt) {
-                job.on.remove(&task.index);
+            if job.take_off(task.index, *attempt) {
                 self.used.add(job.team, &job.spec, -1.0);
-                job.push(task.index);
             }
         }
         self.dirty = true;
--- a/src/coordination/job.rs
+++ b/src/coordination/job.rs
@@ -72,6 +72,9 @@
     pub running: u32,
     /// Where each task is that may be on a machine, with its attempt.
     pub on: BTreeMap<u32, (Name, u64)>,
+    /// Further attempts of tasks that are on: reports of different ages can show
+    /// one task on two machines, and which of them is gone is known only later.
+    copies: Vec<(u32, Name, u64)>,
     /// Tasks bound to a machine's queue, and which machine that is.
     pub bound: BTreeMap<u32, Name>,
     /// Machines on which a task of this job failed.
@@ -105,6 +108,7 @@
             back: BTreeSet::new(),
             running: 0,
             on: BTreeMap::new(),
+            copies: Vec::new(),
             bound: BTreeMap::new(),
             failed_on: Names::default(),
             not_before: 0.0,
@@ -147,6 +151,49 @@
         self.on.insert(task, (machine, attempt)).is_none()
     }
 
+    /// Another attempt of a task that is on is, or may be, on a machine too;
+    /// whether that is news.
+    pub fn add_copy(&mut self, task: u32, machine: Name, attempt: u64) -> bool {
+        let copy = (task, machine, attempt);
+        let news = !self.copies.contains(&copy);
+        if news {
+            self.copies.push(copy);
+        }
+        news
+    }
+
+    /// An attempt is not on a machine any more: whether it was counted as on. As
+    /// long as another attempt of the task is, the task stays on.
+    pub fn take_off(&mut self, task: u32, attempt: u64) -> bool {
+        let copy = self
+            .copies
+            .iter()
+            .position(|c| c.0 == task && c.2 == attempt);
+        if let Some(at) = copy {
+            self.copies.swap_remove(at);
+            return true;
+        }
+        if self.on.get(&task).is_none_or(|(_, a)| *a != attempt) {
+            return false;
+        }
+        match self.copies.iter().position(|c| c.0 == task) {
+            Some(at) => {
+                let (_, machine, attempt) = self.copies.swap_remove(at);
+                self.on.insert(task, (machine, attempt));
+            }
+            None => {
+                self.on.remove(&task);
+                self.push(task);
+            }
+        }
+        true
+    }
+
+    /// How many attempts are on machines, or may be.
+    pub fn attempts_on(&self) -> usize {
+        self.on.len() + self.copies.len()
+    }
+
     /// Takes the next waiting task.
     pub fn pop(&mut self) -> Option<u32> {
         if self.over {
--- a/src/coordination/quota.rs
+++ b/src/coordination/quota.rs
@@ -67,7 +67,7 @@
     pub fn usage(&self) -> Usage {
         let mut usage = Usage::default();
         for job in self.jobs.values().filter(|j| !j.on.is_empty()) {
-            usage.add(job.team, &job.spec, job.on.len() as f64);
+            usage.add(job.team, &job.spec, job.attempts_on() as f64);
         }
         usage
     }
@@ -93,7 +93,7 @@
         let mut held: std::collections::BTreeMap<&str, (f64, u32)> = Default::default();
         for job in self.jobs.values().filter(|j| !j.over) {
             let entry = held.entry(&job.spec.class).or_default();
-            entry.0 += job.on.len() as f64 * job.spec.cpus;
+            entry.0 += job.attempts_on() as f64 * job.spec.cpus;
             entry.1 += job.lacking();
         }
         let (usable, all, free) = self.capacity();
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -354,6 +354,12 @@
                 // task did, and while that is being stopped it is still on.
                 job.set_on(index, name.clone(), key.1);
                 self.used.add(job.team, &job.spec, 1.0);
+            } else if elsewhere && job.add_copy(index, name.clone(), key.1) {
+                // One of the two reports is older, and we cannot tell which: as
+                // long as either may be on, the task must not start again. (The
+                // one seen first went with its session, the task started a third
+                // time while the other one ran: ran_twice.)
+                self.used.add(job.team, &job.spec, 1.0);
             }
             let unwanted = elsewhere || job.over || job.done.contains(index);
             if fresh || phase == Phase::Running && started == Some(now) {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -494,3 +494,34 @@
         assert_eq!(known, lives, "{followed} {version} {listed_at:?}");
     }
 }
+
+/// Guards against a third start of a task that reports of different ages showed
+/// on two machines: the one seen first went with its session, and the other ran
+/// on (found by the simulation, as ran_twice).
+#[test]
+fn a_task_shown_on_two_machines_starts_again_when_both_are_rid_of_it() {
+    let mut core = core(free(), 5, &["m1", "m2", "m3"]);
+    add(
+        &mut core,
+        spec("run-1", "t", Urgency::Standard, 1, 2.0),
+        0.0,
+    );
+    let on = |attempt| [("run-1/0", attempt, Phase::Running, None)];
+    orders(&mut core, &report("m1", 1, 1, 5, &on(7)), 1.0);
+    orders(&mut core, &report("m2", 1, 1, 5, &on(8)), 1.1);
+    orders(&mut core, &report("m3", 1, 1, 5, &[]), 1.2);
+    assert_eq!(core.used().cpus(), 4.0, "both count for the team's limit");
+    let mut started = Vec::new();
+    for (machine, session, seq, now) in [("m1", 2, 1, 2.0), ("m3", 1, 2, 2.1)] {
+        let orders = orders(&mut core, &report(machine, session, seq, 5, &[]), now);
+        started.extend(starts(&orders));
+        core.place(now);
+    }
+    assert!(started.is_empty() && core.outbox.iter().all(|n| **n == *"m2"));
+    assert_eq!(core.used().cpus(), 2.0);
+    let gone = [("run-1/0", 8, Phase::Exited, Some(Cause::Stopped))];
+    orders(&mut core, &report("m2", 1, 2, 5, &gone), 3.0);
+    core.place(3.0);
+    let now_on = core.jobs.get("run-1").and_then(|j| j.on.get(&0));
+    assert!(now_on.is_some_and(|(_, attempt)| *attempt > 8));
+}
