Client library: a durable outbox, retries within a budget, one answer for every job

Need: a caller whose connection drops must not guess whether to submit again. Change: crates/client: the outbox (redb, checksums, changes held back until a file is known to be whole), what answers add to a job (pure), backoff with full jitter, retry budget, AIMD, fronts with ejection and slow return, one schedule for all polls, async and blocking faces, tracing spans, the metrics facade. The wire types of workers, cloud and state service move to foxspur-wire. tests/tenure.rs: two more guards.

--- /dev/null
+++ b/crates/client/src/pace.rs
@@ -0,0 +1,188 @@
+//! How often to ask whom: pure, in seconds passed in. A library in a thousand
+//! processes must not finish off a controller that comes back.
+
+use rand::Rng;
+use std::collections::VecDeque;
+
+/// Exponential backoff with full jitter: a wait drawn evenly between nothing and
+/// a bound that doubles with each failure (M. Brooker, "Exponential Backoff And
+/// Jitter", AWS Architecture Blog, 2015). The protocol asks for a second at
+/// least, and for `Retry-After` up to 30 s where that is longer.
+pub fn backoff(failures: u32, retry_after: Option<f64>, rng: &mut impl Rng) -> f64 {
+    let bound = 2f64.powi(failures.min(10) as i32).min(MOST_WAIT_S);
+    let asked = retry_after.unwrap_or(0.0).clamp(0.0, MOST_WAIT_S);
+    // What all were told to wait for they would end together: jitter on top.
+    1.0 + (asked - 1.0).max(0.0) + rng.random_range(0.0..=bound)
+}
+
+/// Longest wait between two attempts, and longest `Retry-After` heeded.
+pub const MOST_WAIT_S: f64 = 30.0;
+
+/// Retries as a share of first attempts (Finagle's `RetryBudget`): each first
+/// attempt pays `share` into it, each retry takes one out, and a trickle of
+/// `floor_per_s` keeps a caller with a single job going. A retry that is answered
+/// gives back two, so that what piled up in an outage goes out ever faster once
+/// it is over (as in TCP's slow start), and not before.
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    share: f64,
+    floor_per_s: f64,
+    most: f64,
+    tokens: f64,
+    at: f64,
+}
+
+impl RetryBudget {
+    pub fn new(share: f64, floor_per_s: f64, most: f64) -> RetryBudget {
+        RetryBudget {
+            share,
+            floor_per_s,
+            most,
+            tokens: most.min(1.0),
+            at: f64::NEG_INFINITY,
+        }
+    }
+
+    fn fill(&mut self, now: f64) {
+        if self.at.is_finite() {
+            let more = (now - self.at).max(0.0) * self.floor_per_s;
+            self.tokens = (self.tokens + more).min(self.most);
+        }
+        self.at = self.at.max(now);
+    }
+
+    /// A first attempt was made.
+    pub fn first(&mut self, now: f64) {
+        self.fill(now);
+        self.tokens = (self.tokens + self.share).min(self.most);
+    }
+
+    /// A retry was answered.
+    pub fn answered(&mut self) {
+        self.tokens = (self.tokens + 2.0).min(self.most);
+    }
+
+    /// Takes out a retry, or says in how many seconds there is one at the latest.
+    pub fn retry(&mut self, now: f64) -> Result<(), f64> {
+        self.fill(now);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        Err((1.0 - self.tokens) / self.floor_per_s.max(1e-3))
+    }
+}
+
+/// Requests a second, with bursts of `burst`: each gets a slot of its own, so that
+/// thousands that are due at once do not ask again and again whether it is time
+/// (the generic cell rate algorithm of ATM, ITU-T I.371).
+#[derive(Debug, Clone)]
+pub struct Rate {
+    per_s: f64,
+    burst: f64,
+    next: f64,
+}
+
+impl Rate {
+    pub fn new(per_s: f64, burst: f64) -> Rate {
+        Rate {
+            per_s,
+            burst,
+            next: f64::NEG_INFINITY,
+        }
+    }
+
+    /// Reserves the next slot: in how many seconds it is, 0 for now.
+    pub fn reserve(&mut self, now: f64) -> f64 {
+        let slot = self
+            .next
+            .max(now - (self.burst - 1.0).max(0.0) / self.per_s);
+        self.next = slot + 1.0 / self.per_s;
+        (slot - now).max(0.0)
+    }
+}
+
+/// How many requests may be under way: additive increase, multiplicative
+/// decrease (Chiu and Jain, 1989; TCP's congestion avoidance, Jacobson 1988).
+/// A refusal or a timeout shrinks it, and so does an answer that took much
+/// longer than the fastest of late, which means a queue (as in TCP Vegas).
+#[derive(Debug, Clone)]
+pub struct InFlight {
+    limit: f64,
+    most: f64,
+    under_way: usize,
+    /// Latencies of late, and when it last shrank.
+    recent: VecDeque<f64>,
+    shrunk_at: f64,
+}
+
+/// How an attempt ended, for those who pace.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Ended {
+    /// Answered after this many seconds.
+    Answered(f64),
+    /// 429, 503, 504, no answer in time, no connection.
+    Overloaded,
+}
+
+impl InFlight {
+    pub fn new(most: usize) -> InFlight {
+        InFlight {
+            limit: (most as f64 / 8.0).max(2.0),
+            most: most as f64,
+            under_way: 0,
+            recent: VecDeque::new(),
+            shrunk_at: f64::NEG_INFINITY,
+        }
+    }
+
+    /// Begins a request if there is room.
+    pub fn begin(&mut self) -> bool {
+        let room = (self.under_way as f64) < self.limit.floor().max(1.0);
+        self.under_way += usize::from(room);
+        room
+    }
+
+    /// What was begun was not sent after all.
+    pub fn cancel(&mut self) {
+        self.under_way = self.under_way.saturating_sub(1);
+    }
+
+    pub fn limit(&self) -> usize {
+        self.limit as usize
+    }
+
+    /// A request ended.
+    pub fn end(&mut self, ended: Ended, now: f64) {
+        self.under_way = self.under_way.saturating_sub(1);
+        let congested = match ended {
+            Ended::Overloaded => true,
+            Ended::Answered(s) => {
+                self.recent.push_back(s);
+                if self.recent.len() > 64 {
+                    self.recent.pop_front();
+                }
+                let best = self.recent.iter().copied().fold(f64::MAX, f64::min);
+                // Four times the best, and more than a hiccup.
+                s > 4.0 * best + 0.25
+            }
+        };
+        if !congested {
+            self.limit = (self.limit + 1.0 / self.limit).min(self.most);
+        } else if now - self.shrunk_at > 1.0 {
+            // Once a second at most: what was under way together fails together.
+            self.limit = (self.limit * 0.7).max(1.0);
+            self.shrunk_at = now;
+        }
+    }
+
+    /// The latency that all but a twentieth of the answers stayed under.
+    pub fn p95(&self) -> Option<f64> {
+        if self.recent.len() < 16 {
+            return None;
+        }
+        let mut sorted: Vec<f64> = self.recent.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        sorted.get(sorted.len() * 19 / 20).copied()
+    }
+}
--- /dev/null
+++ b/crates/client/src/transport.rs
@@ -0,0 +1,101 @@
+//! One request to one front, and what is known when it gave no answer.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::time::Duration;
+
+/// A request to a controller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
+    /// `POST` with this body, or `GET` without.
+    pub body: Option<String>,
+    pub path: String,
+}
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Answer {
+    pub status: u16,
+    /// `Retry-After`, in seconds.
+    pub retry_after: Option<f64>,
+    pub body: Vec<u8>,
+}
+
+/// Why there is no answer. It may have been carried out all the same.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct NoAnswer(pub String);
+
+/// A future that a transport gives.
+pub type Call<'a> = Pin<Box<dyn Future<Output = Result<Answer, NoAnswer>> + Send + 'a>>;
+
+/// How requests travel. `front` counts from 0 in the order of the settings.
+pub trait Transport: Send + Sync + 'static {
+    fn call(&self, front: usize, request: Request, timeout: Duration) -> Call<'_>;
+}
+
+/// Longest answer taken: the protocol's answers are a line.
+const MOST_BYTES: usize = 64 * 1024;
+
+/// HTTP/1.1 by `reqwest`.
+#[derive(Debug, Clone)]
+pub struct Http {
+    client: reqwest::Client,
+    fronts: Vec<String>,
+}
+
+impl Http {
+    /// `fronts` are base URLs, such as `http://10.0.0.1:8080`.
+    pub fn new(fronts: &[String], connect: Duration) -> Result<Http, NoAnswer> {
+        let client = reqwest::Client::builder()
+            .connect_timeout(connect)
+            .redirect(reqwest::redirect::Policy::none())
+            // What is sent again is decided here, and counted.
+            .retry(reqwest::retry::never())
+            .no_proxy()
+            .build()
+            .map_err(|e| NoAnswer(e.to_string()))?;
+        let fronts = fronts.iter().map(|f| f.trim_end_matches('/').to_string());
+        Ok(Http {
+            client,
+            fronts: fronts.collect(),
+        })
+    }
+
+    async fn exchange(&self, front: usize, request: Request) -> Result<Answer, NoAnswer> {
+        let failed = |e: reqwest::Error| NoAnswer(e.without_url().to_string());
+        let base = self.fronts.get(front).map_or("", String::as_str);
+        let url = format!("{base}{}", request.path);
+        let call = match request.body {
+            Some(body) => self.client.post(url).body(body),
+            None => self.client.get(url),
+        };
+        let call = call.header("content-type", "application/json");
+        let mut response = call.send().await.map_err(failed)?;
+        let header = response.headers().get("retry-after");
+        let retry_after = header.and_then(|v| v.to_str().ok()?.trim().parse().ok());
+        let status = response.status().as_u16();
+        let mut body = Vec::new();
+        while let Some(chunk) = response.chunk().await.map_err(failed)? {
+            if body.len() + chunk.len() > MOST_BYTES {
+                return Err(NoAnswer("answer over 64 KiB".into()));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(Answer {
+            status,
+            retry_after,
+            body,
+        })
+    }
+}
+
+impl Transport for Http {
+    fn call(&self, front: usize, request: Request, timeout: Duration) -> Call<'_> {
+        Box::pin(async move {
+            tokio::time::timeout(timeout, self.exchange(front, request))
+                .await
+                .unwrap_or_else(|_| Err(NoAnswer("no answer in time".into())))
+        })
+    }
+}
--- a/crates/wire/src/cloud.rs
+++ b/crates/wire/src/cloud.rs
@@ -33,7 +33,7 @@
 }
 
 /// A rental request; `request` is never used again.
-#[derive(Serialize, Clone, Debug)]
+#[derive(Serialize, Deserialize, Clone, Debug)]
 pub struct Rental {
     #[serde(rename = "booking")]
     pub request: String,
@@ -55,7 +55,7 @@
 }
 
 /// State of a machine in the list.
-#[derive(Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListedState {
     #[serde(rename = "starting")]
     Booting,
@@ -66,7 +66,7 @@
 }
 
 /// A machine in the list.
-#[derive(Deserialize, Clone, Debug)]
+#[derive(Serialize, Deserialize, Clone, Debug)]
 pub struct Listed {
     #[serde(rename = "name_id")]
     pub id: String,
@@ -83,7 +83,7 @@
 }
 
 /// A page of the list.
-#[derive(Deserialize, Clone, Debug)]
+#[derive(Serialize, Deserialize, Clone, Debug)]
 pub struct Page {
     #[serde(rename = "hosts")]
     pub machines: Vec<Listed>,
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -5,7 +5,7 @@
 use serde_json::value::{to_raw_value, RawValue};
 
 /// A key with its value, unread as yet, and the revision of its last change.
-#[derive(Deserialize, Clone, Debug)]
+#[derive(Serialize, Deserialize, Clone, Debug)]
 pub struct Entry {
     #[serde(rename = "k")]
     pub key: String,
@@ -23,7 +23,7 @@
 }
 
 /// A page of a listing.
-#[derive(Deserialize, Clone, Debug)]
+#[derive(Serialize, Deserialize, Clone, Debug)]
 pub struct Listing {
     #[serde(rename = "entries")]
     pub items: Vec<Entry>,
@@ -34,7 +34,7 @@
 }
 
 /// A condition: the key has this version (0: it does not exist).
-#[derive(Serialize, Clone, Debug)]
+#[derive(Serialize, Deserialize, Clone, Debug)]
 pub struct Cond {
     #[serde(rename = "k")]
     pub key: String,
@@ -43,7 +43,7 @@
 }
 
 /// A change.
-#[derive(Serialize, Clone, Debug)]
+#[derive(Serialize, Deserialize, Clone, Debug)]
 #[serde(untagged)]
 pub enum Change {
     Put {
@@ -51,7 +51,7 @@
         key: String,
         #[serde(rename = "v")]
         value: Box<RawValue>,
-        #[serde(rename = "tenancy", skip_serializing_if = "Option::is_none")]
+        #[serde(rename = "tenancy", default, skip_serializing_if = "Option::is_none")]
         lease: Option<u64>,
     },
     Delete {
@@ -61,11 +61,11 @@
 }
 
 /// A transaction.
-#[derive(Serialize, Clone, Debug, Default)]
+#[derive(Serialize, Deserialize, Clone, Debug, Default)]
 pub struct Txn {
-    #[serde(rename = "when")]
+    #[serde(rename = "when", default)]
     pub conds: Vec<Cond>,
-    #[serde(rename = "apply")]
+    #[serde(rename = "apply", default)]
     pub changes: Vec<Change>,
 }
 
@@ -101,41 +101,41 @@
 }
 
 /// Answer to a transaction that was applied, or a missing key.
-#[derive(Deserialize, Clone, Debug)]
+#[derive(Serialize, Deserialize, Clone, Debug)]
 pub struct Revision {
     #[serde(rename = "revno")]
     pub revision: u64,
 }
 
 /// Answer to a transaction whose conditions failed.
-#[derive(Deserialize, Clone, Debug)]
+#[derive(Serialize, Deserialize, Clone, Debug)]
 pub struct Conflict {
     #[serde(default)]
     pub failed: Vec<String>,
 }
 
 /// A request for a lease.
-#[derive(Serialize, Clone, Debug)]
+#[derive(Serialize, Deserialize, Clone, Debug)]
 pub struct LeaseRequest {
     #[serde(rename = "life_ms")]
     pub ttl_ms: u64,
 }
 
 /// A granted lease.
-#[derive(Deserialize, Clone, Debug)]
+#[derive(Serialize, Deserialize, Clone, Debug)]
 pub struct Lease {
     #[serde(rename = "tenancy")]
     pub lease: u64,
 }
 
 /// One change seen by a watch.
-#[derive(Deserialize, Clone, Debug)]
+#[derive(Serialize, Deserialize, Clone, Debug)]
 pub struct Event {
-    #[serde(rename = "set", default)]
+    #[serde(rename = "set", default, skip_serializing_if = "Option::is_none")]
     set: Option<String>,
-    #[serde(rename = "v", default)]
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
     value: Option<Box<RawValue>>,
-    #[serde(rename = "delete", default)]
+    #[serde(rename = "delete", default, skip_serializing_if = "Option::is_none")]
     delete: Option<String>,
     #[serde(rename = "stamp")]
     version: u64,
@@ -149,6 +149,20 @@
 }
 
 impl Event {
+    /// A change of the key at this version: its value, or none if it was deleted.
+    pub fn new(key: String, value: Option<Box<RawValue>>, version: u64) -> Event {
+        let (set, delete) = match value {
+            Some(_) => (Some(key), None),
+            None => (None, Some(key)),
+        };
+        Event {
+            set,
+            value,
+            delete,
+            version,
+        }
+    }
+
     /// What it did, if it is either of the two.
     pub fn seen(self) -> Option<Seen> {
         let version = self.version;
@@ -165,7 +179,7 @@
 }
 
 /// What a watch returns.
-#[derive(Deserialize, Clone, Debug)]
+#[derive(Serialize, Deserialize, Clone, Debug)]
 pub struct News {
     #[serde(rename = "revno")]
     pub revision: u64,
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -172,8 +172,8 @@
 }
 
 /// Sends a worker to the controller that answers for it.
-#[derive(Serialize, Debug)]
+#[derive(Serialize, Deserialize, Debug)]
 pub struct Redirect<'a> {
-    #[serde(rename = "steward", skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "steward", default, skip_serializing_if = "Option::is_none")]
     pub to: Option<&'a str>,
 }
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,10 +1,12 @@
 //! What travels between foxspur and the world: the only place that knows wire
 //! names. Inside the program the field's own terms are used.
 
-pub mod cloud;
-pub mod job;
+//!
+//! What others exchange with controllers is in `foxspur-wire`, for clients and
+//! stand-ins use the same definitions; what controllers alone read is here.
+
+pub use foxspur_wire::{cloud, job, state, worker};
+
 pub mod mesh;
 pub mod policy;
 pub mod settings;
-pub mod state;
-pub mod worker;
--- a/tests/tenure.rs
+++ b/tests/tenure.rs
@@ -134,6 +134,29 @@
     assert!(!p.a.certain(7.0) && !p.a.entitled(7.0));
 }
 
+/// Guards against the answer to a rewriting that comes under the next lease but
+/// one: it proves nothing about that.
+#[test]
+fn a_rewriting_counts_for_the_lease_it_was_made_under() {
+    let mut p = pair();
+    p.store.end(p.a_lease);
+    p.back();
+    let again = p.a.reassert(5.6).expect("the lease is new");
+    let version = p.store.apply(&again.txn).expect("still ours");
+    let claim = {
+        let since = p.store.revision;
+        p.store.end(p.a_lease);
+        read(&mut p.b, &p.store);
+        follow(&mut p.b, &p.store, since);
+        p.b.claim(9.0, 9000).expect("the owner is gone")
+    };
+    p.store.apply(&claim.txn).expect("taken over");
+    let lease = p.back();
+    p.a.rewritten(&again, version);
+    p.a.renewed(lease, 12.0);
+    assert_eq!(p.a.confirmed(), 5.6);
+}
+
 /// Guards against a takeover that was itself overtaken before its answer came:
 /// while the share was being taken, while it was being read, and by a promise.
 #[test]
@@ -178,8 +201,9 @@
 #[test]
 fn what_is_older_does_not_replace_what_is_newer() {
     let mut p = pair();
-    let (old, at) = (p.store.list(records::AREA), p.store.revision);
     p.store.end(p.a_lease);
+    // Listed while its owner had no lease, and answered after it was back.
+    let (old, at) = (p.store.list(records::AREA), p.store.revision);
     p.back();
     let again = p.a.reassert(5.6).expect("the lease is new");
     p.store.apply(&again.txn).expect("still ours");
@@ -187,6 +211,7 @@
     let known = p.b.view.share_version();
     p.b.view.take_list(&old, at);
     assert_eq!(p.b.view.share_version(), known);
+    assert!(p.b.claim(6.0, 6000).is_none(), "its owner is alive");
     // A look for the owner's key, begun before the record changed.
     p.b.view.not_alive("a", at);
     assert!(p.b.claim(6.0, 6000).is_none(), "its owner is alive");
