A world on loopback: stand-ins, real controllers, load, faults and a checker in one command

Need: the client library wants a proof with real controllers, and a newcomer a way to see foxspur run.

--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -44,14 +44,14 @@
 
 /// A change.
 #[derive(Serialize, Deserialize, Clone, Debug)]
-#[serde(untagged)]
+#[serde(untagged, try_from = "AnyChange")]
 pub enum Change {
     Put {
         #[serde(rename = "set")]
         key: String,
         #[serde(rename = "v")]
         value: Box<RawValue>,
-        #[serde(rename = "tenancy", default, skip_serializing_if = "Option::is_none")]
+        #[serde(rename = "tenancy", skip_serializing_if = "Option::is_none")]
         lease: Option<u64>,
     },
     Delete {
@@ -60,6 +60,35 @@
     },
 }
 
+/// A change with the fields of both kinds: an unread value cannot be told from
+/// others by trying, as an untagged enum would.
+#[derive(Deserialize)]
+struct AnyChange {
+    #[serde(default)]
+    set: Option<String>,
+    #[serde(rename = "v", default)]
+    value: Option<Box<RawValue>>,
+    #[serde(rename = "tenancy", default)]
+    lease: Option<u64>,
+    #[serde(default)]
+    delete: Option<String>,
+}
+
+impl TryFrom<AnyChange> for Change {
+    type Error = &'static str;
+    fn try_from(any: AnyChange) -> Result<Change, Self::Error> {
+        match (any.set, any.value, any.delete) {
+            (Some(key), Some(value), None) => Ok(Change::Put {
+                key,
+                value,
+                lease: any.lease,
+            }),
+            (None, None, Some(key)) => Ok(Change::Delete { key }),
+            _ => Err("a change is either set with v, or delete"),
+        }
+    }
+}
+
 /// A transaction.
 #[derive(Serialize, Deserialize, Clone, Debug, Default)]
 pub struct Txn {
@@ -186,3 +215,32 @@
     #[serde(rename = "news")]
     pub events: Vec<Event>,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a transaction that only one side can read.
+    #[test]
+    fn transactions_travel_both_ways() {
+        for (text, changes) in [
+            (
+                r#"{"when":[{"k":"a","stamp":0}],"apply":[{"set":"a","v":{"b":[1, 2]},"tenancy":7}]}"#,
+                Some(1),
+            ),
+            (r#"{"apply":[{"delete":"a"},{"set":"b","v":0}]}"#, Some(2)),
+            (r#"{"when":[]}"#, Some(0)),
+            (r#"{"apply":[{"set":"a","delete":"b","v":1}]}"#, None),
+            (r#"{"apply":[{"set":"a"}]}"#, None),
+        ] {
+            let read = serde_json::from_str::<Txn>(text).ok();
+            assert_eq!(read.as_ref().map(|t| t.changes.len()), changes, "{text}");
+            let Some(txn) = read else {
+                continue;
+            };
+            let again = serde_json::to_string(&txn).unwrap();
+            let same = serde_json::from_str::<Txn>(&again).unwrap();
+            assert_eq!(serde_json::to_string(&same).unwrap(), again);
+        }
+    }
+}
--- /dev/null
+++ b/crates/world/src/machines.rs
@@ -0,0 +1,551 @@
+//! The cloud and its machines: a worker on each, by the protocol, with leases,
+//! tokens, tenures, room, and machines that die or hang.
+
+use crate::history::{Event, History};
+use crate::site::Site;
+use actix_web::{web, HttpRequest, HttpResponse};
+use foxspur_wire::cloud::{Listed, ListedState, MachineType, Names, Page, Rental, TypeList};
+use foxspur_wire::job::JobSpec;
+use foxspur_wire::worker::{Cause, Command, Direct, Phase, Redirect, Reply, Report, Shown};
+use rand::Rng;
+use serde::Deserialize;
+use serde_json::json;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+struct Task {
+    phase: Phase,
+    cause: Option<Cause>,
+    until: f64,
+    cpus: f64,
+}
+
+struct Machine {
+    name: String,
+    kind: MachineType,
+    zone: String,
+    spot: bool,
+    rented: f64,
+    up_at: f64,
+    addr: SocketAddr,
+    dead: bool,
+    hung_until: f64,
+    session: u64,
+    seq: u64,
+    token: u64,
+    renewed: f64,
+    changed: bool,
+    tasks: BTreeMap<(String, u64), Task>,
+}
+
+struct Inner {
+    machines: BTreeMap<String, Machine>,
+    bookings: HashMap<String, Vec<String>>,
+    /// Addresses not in use.
+    addrs: Vec<SocketAddr>,
+    next: u32,
+    away_until: f64,
+    /// Jobs that users uploaded.
+    jobs: HashMap<String, JobSpec>,
+}
+
+/// All machines; clones share them.
+#[derive(Clone)]
+pub struct Machines {
+    site: Arc<Site>,
+    history: History,
+    fronts: Arc<Vec<(String, String)>>,
+    inner: Arc<Mutex<Inner>>,
+    http: reqwest::Client,
+}
+
+impl Machines {
+    /// `fronts` are the controllers' names and base URLs, `addrs` where workers
+    /// listen.
+    pub fn new(
+        site: Arc<Site>,
+        history: History,
+        fronts: Vec<(String, String)>,
+        addrs: Vec<SocketAddr>,
+    ) -> Machines {
+        let client = reqwest::Client::builder().no_proxy().build();
+        let machines = Machines {
+            site,
+            history,
+            fronts: Arc::new(fronts),
+            inner: Arc::new(Mutex::new(Inner {
+                machines: BTreeMap::new(),
+                bookings: HashMap::new(),
+                addrs,
+                next: 0,
+                away_until: 0.0,
+                jobs: HashMap::new(),
+            })),
+            http: client.unwrap_or_default(),
+        };
+        let kind = machines.site.types[0].clone();
+        for n in 0..machines.site.machines {
+            let zone = kind.zones[n as usize % kind.zones.len()].clone();
+            machines.rent_one(&kind, &zone, false, 0.0);
+        }
+        machines
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// A user uploads a job's description.
+    pub fn upload(&self, id: String, spec: JobSpec) {
+        self.lock().jobs.insert(id, spec);
+    }
+
+    /// The cloud's interface is away for this long.
+    pub fn away(&self, s: f64) {
+        let until = self.history.now() + s;
+        self.lock().away_until = until;
+    }
+
+    /// A machine that is up, drawn at random, dies or hangs for this long.
+    pub fn strike(&self, hang_s: Option<f64>) -> Option<String> {
+        let now = self.history.now();
+        let mut inner = self.lock();
+        let up = inner
+            .machines
+            .values_mut()
+            .filter(|m| m.up_at <= now && !m.dead);
+        let mut up: Vec<&mut Machine> = up.collect();
+        let n = (!up.is_empty()).then(|| rand::rng().random_range(0..up.len()))?;
+        let machine = &mut up[n];
+        match hang_s {
+            Some(s) => machine.hung_until = now + s,
+            None => {
+                machine.dead = true;
+                machine.clear(&self.history);
+            }
+        }
+        Some(machine.name.clone())
+    }
+
+    fn rent_one(&self, kind: &MachineType, zone: &str, spot: bool, boot_s: f64) -> Option<String> {
+        let now = self.history.now();
+        let mut inner = self.lock();
+        let same = |m: &&Machine| m.kind.name == kind.name && m.zone == zone && m.spot == spot;
+        if inner.machines.values().filter(same).count() >= self.site.capacity as usize {
+            return None;
+        }
+        let addr = inner.addrs.pop()?;
+        inner.next += 1;
+        let name = format!("m-{:06}", inner.next);
+        let machine = Machine {
+            name: name.clone(),
+            kind: kind.clone(),
+            zone: zone.into(),
+            spot,
+            rented: now,
+            up_at: now + boot_s * rand::rng().random_range(0.6..1.5),
+            addr,
+            dead: false,
+            hung_until: 0.0,
+            session: 1,
+            seq: 0,
+            token: 0,
+            renewed: now,
+            changed: true,
+            tasks: BTreeMap::new(),
+        };
+        inner.machines.insert(name.clone(), machine);
+        drop(inner);
+        let (machines, id) = (self.clone(), name.clone());
+        actix_web::rt::spawn(async move { machines.report(id).await });
+        Some(name)
+    }
+
+    /// A worker's life: it reports until its machine is gone.
+    async fn report(self, name: String) {
+        let report_s = self.site.workers.report_s;
+        let mut at = rand::rng().random_range(0..self.fronts.len());
+        let mut next = 0.0;
+        loop {
+            actix_web::rt::time::sleep(Duration::from_millis(20)).await;
+            let now = self.history.now();
+            let body = {
+                let mut inner = self.lock();
+                let Some(m) = inner.machines.get_mut(&name) else {
+                    return;
+                };
+                if m.dead || now < m.up_at || now < m.hung_until {
+                    if now < m.up_at {
+                        m.renewed = now;
+                    }
+                    continue;
+                }
+                m.pass(now, self.site.workers.lease_s, &self.history);
+                if now < next && !(m.changed && now > next - 0.75 * report_s) {
+                    continue;
+                }
+                m.changed = false;
+                m.report()
+            };
+            next = now + report_s * rand::rng().random_range(0.75..1.25);
+            let session = body.session;
+            let url = format!("{}/hello", self.fronts[at].1);
+            let text = serde_json::to_string(&body).unwrap_or_default();
+            let sent = self
+                .http
+                .post(url)
+                .body(text)
+                .timeout(Duration::from_secs(4))
+                .send();
+            let answer = async {
+                let response = sent.await.ok()?;
+                let status = response.status().as_u16();
+                Some((status, response.bytes().await.ok()?))
+            };
+            match answer.await {
+                Some((200, body)) => {
+                    let reply: Option<Reply> = serde_json::from_slice(&body).ok();
+                    let mut inner = self.lock();
+                    let Inner { machines, jobs, .. } = &mut *inner;
+                    let Some(m) = machines.get_mut(&name) else {
+                        return;
+                    };
+                    let hung = self.history.now() < m.hung_until || m.dead;
+                    if let Some(reply) = reply.filter(|r| r.token >= m.token && !hung) {
+                        if m.session == session {
+                            m.token = reply.token;
+                            m.renewed = now;
+                            m.execute(&reply.commands, jobs, &self.history);
+                        }
+                    }
+                }
+                Some((421, body)) => {
+                    let to = serde_json::from_slice::<Redirect>(&body).ok();
+                    let to = to.and_then(|r| r.to.map(str::to_string));
+                    let known = to.and_then(|t| self.fronts.iter().position(|f| f.0 == t));
+                    match known.filter(|k| *k != at) {
+                        Some(known) => at = known,
+                        None => {
+                            at = (at + 1) % self.fronts.len();
+                            actix_web::rt::time::sleep(Duration::from_secs(1)).await;
+                        }
+                    }
+                    next = 0.0;
+                }
+                _ => {
+                    at = (at + 1) % self.fronts.len();
+                    actix_web::rt::time::sleep(Duration::from_secs(1)).await;
+                    next = 0.0;
+                }
+            }
+        }
+    }
+}
+
+impl Machine {
+    fn off(&self, key: &(String, u64), done: bool, history: &History) {
+        history.add(Event::Off {
+            task: key.0.clone(),
+            attempt: key.1,
+            machine: self.name.clone(),
+            done,
+        });
+    }
+
+    /// All tasks are gone.
+    fn clear(&mut self, history: &History) {
+        for (key, task) in std::mem::take(&mut self.tasks) {
+            if task.phase == Phase::Running {
+                self.off(&key, false, history);
+            }
+        }
+    }
+
+    /// Time passes: the lease may be over, tasks end.
+    fn pass(&mut self, now: f64, lease_s: f64, history: &History) {
+        if now - self.renewed > lease_s {
+            self.clear(history);
+            self.session += 1;
+            self.renewed = now;
+            self.changed = true;
+        }
+        let ended = |t: &Task| t.phase == Phase::Running && t.until <= now;
+        let keys: Vec<_> = (self.tasks.iter().filter(|(_, t)| ended(t)))
+            .map(|(k, _)| k.clone())
+            .collect();
+        for key in keys {
+            self.exit(&key, Cause::Done, history);
+        }
+    }
+
+    fn exit(&mut self, key: &(String, u64), cause: Cause, history: &History) {
+        if let Some(task) = self.tasks.get_mut(key) {
+            task.phase = Phase::Exited;
+            task.cause = Some(cause);
+            self.changed = true;
+            self.off(key, cause == Cause::Done, history);
+        }
+    }
+
+    fn report(&mut self) -> Report {
+        self.seq += 1;
+        let shown = self.tasks.iter().map(|((task, attempt), t)| Shown {
+            task: task.clone(),
+            attempt: *attempt,
+            phase: t.phase,
+            cause: t.cause,
+            saved: None,
+        });
+        Report {
+            machine: self.name.clone(),
+            addr: self.addr.to_string(),
+            kind: self.kind.name.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: shown.collect(),
+        }
+    }
+
+    fn execute(
+        &mut self,
+        commands: &[Command],
+        jobs: &HashMap<String, JobSpec>,
+        history: &History,
+    ) {
+        for command in commands {
+            match command {
+                Command::Start { task, attempt } => self.start(task, *attempt, jobs, history),
+                Command::Stop { task, attempt, .. } => {
+                    let key = (task.clone(), *attempt);
+                    let runs = |t: &Task| t.phase == Phase::Running;
+                    if self.tasks.get(&key).is_some_and(runs) {
+                        self.exit(&key, Cause::Stopped, history);
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    let key = (task.clone(), *attempt);
+                    let exited = |t: &Task| t.phase == Phase::Exited;
+                    if self.tasks.get(&key).is_some_and(exited) {
+                        self.tasks.remove(&key);
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(
+        &mut self,
+        task: &str,
+        attempt: u64,
+        jobs: &HashMap<String, JobSpec>,
+        history: &History,
+    ) {
+        let key = (task.to_string(), attempt);
+        if self.tasks.contains_key(&key) {
+            return;
+        }
+        let job = task.rsplit_once('/').and_then(|(job, _)| jobs.get(job));
+        let on = |t: &&Task| t.phase == Phase::Running;
+        let used: f64 = self.tasks.values().filter(on).map(|t| t.cpus).sum();
+        let busy = (self.tasks.iter()).any(|((t, _), s)| t == task && s.phase == Phase::Running);
+        let refused = match job {
+            None => Some(Cause::Unknown),
+            Some(_) if busy => Some(Cause::Busy),
+            Some(spec) if used + spec.cpus > self.kind.cpus + 1e-6 => Some(Cause::NoRoom),
+            Some(_) => None,
+        };
+        let (cpus, team, run_s) = job.map_or((0.0, String::new(), 0.0), |spec| {
+            (spec.cpus, spec.team.clone(), spec.estimate_s)
+        });
+        let run_s = run_s * rand::rng().random_range(0.5..1.5);
+        self.changed = true;
+        if refused.is_none() {
+            history.add(Event::On {
+                task: task.into(),
+                attempt,
+                machine: self.name.clone(),
+                team,
+                cpus,
+            });
+        }
+        let task = Task {
+            phase: refused.map_or(Phase::Running, |_| Phase::Exited),
+            cause: refused,
+            until: history.now() + run_s,
+            cpus,
+        };
+        self.tasks.insert(key, task);
+    }
+}
+
+type Data = web::Data<Machines>;
+
+/// The address that a request came to.
+#[derive(Clone, Copy)]
+pub struct CameTo(pub SocketAddr);
+
+/// Answers direct commands at the address of the machine that it came to.
+async fn commands(machines: Data, request: HttpRequest, direct: web::Json<Direct>) -> HttpResponse {
+    let Some(CameTo(addr)) = request.conn_data::<CameTo>().copied() else {
+        return HttpResponse::InternalServerError().finish();
+    };
+    loop {
+        match machines.direct(addr, &direct) {
+            Reached::Executed(report) => return HttpResponse::Ok().json(report),
+            Reached::Rejected(report) => return HttpResponse::Conflict().json(report),
+            // Executed when it goes on, if token and session still match.
+            Reached::Hangs => actix_web::rt::time::sleep(Duration::from_millis(20)).await,
+            Reached::NoPower => {
+                // It stays silent for longer than anybody waits.
+                actix_web::rt::time::sleep(Duration::from_secs(10)).await;
+                return HttpResponse::ServiceUnavailable().finish();
+            }
+        }
+    }
+}
+
+/// What direct commands found.
+enum Reached {
+    Executed(Report),
+    Rejected(Report),
+    Hangs,
+    NoPower,
+}
+
+impl Machines {
+    fn direct(&self, addr: SocketAddr, direct: &Direct) -> Reached {
+        let now = self.history.now();
+        let mut inner = self.lock();
+        let Inner { machines, jobs, .. } = &mut *inner;
+        let here = |m: &&mut Machine| m.addr == addr && !m.dead && m.up_at <= now;
+        let Some(m) = machines.values_mut().find(here) else {
+            return Reached::NoPower;
+        };
+        if now < m.hung_until {
+            return Reached::Hangs;
+        }
+        m.pass(now, self.site.workers.lease_s, &self.history);
+        let fits = direct.token >= m.token && direct.session == m.session;
+        m.token = m.token.max(direct.token);
+        if !fits {
+            return Reached::Rejected(m.report());
+        }
+        m.execute(&direct.commands, jobs, &self.history);
+        Reached::Executed(m.report())
+    }
+
+    /// The answer of a cloud whose interface is away.
+    fn trouble(&self) -> Option<HttpResponse> {
+        let away = self.history.now() < self.lock().away_until;
+        away.then(|| HttpResponse::ServiceUnavailable().json(json!({"error": "trouble"})))
+    }
+}
+
+/// The workers' routes.
+pub fn worker_routes(config: &mut web::ServiceConfig) {
+    config.route("/commands", web::post().to(commands));
+}
+
+async fn flavors(machines: Data) -> HttpResponse {
+    if let Some(away) = machines.trouble() {
+        return away;
+    }
+    HttpResponse::Ok().json(TypeList {
+        types: machines.site.types.clone(),
+    })
+}
+
+async fn rent(machines: Data, rental: web::Json<Rental>) -> HttpResponse {
+    if let Some(away) = machines.trouble() {
+        return away;
+    }
+    if let Some(known) = machines.lock().bookings.get(&rental.request) {
+        let machines = known.clone();
+        return HttpResponse::Ok().json(Names { machines });
+    }
+    let Some(kind) = machines
+        .site
+        .types
+        .iter()
+        .find(|t| t.name == rental.kind)
+        .cloned()
+    else {
+        return HttpResponse::BadRequest().json(json!({"error": "no such type"}));
+    };
+    let one = |_| machines.rent_one(&kind, &rental.zone, rental.spot, kind.boot_s);
+    let names: Vec<String> = (0..rental.count.min(50)).map_while(one).collect();
+    if names.is_empty() {
+        return HttpResponse::ServiceUnavailable().json(json!({"error": "no capacity"}));
+    }
+    let mut inner = machines.lock();
+    inner.bookings.insert(rental.request.clone(), names.clone());
+    HttpResponse::Ok().json(Names { machines: names })
+}
+
+async fn give_back(machines: Data, names: web::Json<Names>) -> HttpResponse {
+    if let Some(away) = machines.trouble() {
+        return away;
+    }
+    let mut inner = machines.lock();
+    for name in &names.machines {
+        if let Some(mut gone) = inner.machines.remove(name) {
+            gone.clear(&machines.history);
+            inner.addrs.push(gone.addr);
+        }
+    }
+    HttpResponse::Ok().json(json!({}))
+}
+
+#[derive(Deserialize)]
+struct Range {
+    since: Option<String>,
+    limit: Option<usize>,
+}
+
+async fn list(machines: Data, range: web::Query<Range>) -> HttpResponse {
+    if let Some(away) = machines.trouble() {
+        return away;
+    }
+    let now = machines.history.now();
+    let lag = machines.site.cloud.list_lag_s;
+    let inner = machines.lock();
+    // New machines are missing for a while.
+    let shown = inner.machines.values().filter(|m| now - m.rented > lag);
+    let after = shown.filter(|m| range.since.as_ref().is_none_or(|s| m.name > *s));
+    let mut listed: Vec<Listed> = after
+        .map(|m| Listed {
+            id: m.name.clone(),
+            kind: m.kind.name.clone(),
+            zone: m.zone.clone(),
+            spot: m.spot,
+            state: match (m.dead, now < m.up_at) {
+                (true, _) => ListedState::Failed,
+                (_, true) => ListedState::Booting,
+                _ => ListedState::Running,
+            },
+            age_s: now - m.rented,
+        })
+        .collect();
+    let most = range.limit.unwrap_or(500).min(500);
+    let more = listed.len() > most;
+    listed.truncate(most);
+    HttpResponse::Ok().json(Page {
+        machines: listed,
+        more,
+    })
+}
+
+/// The cloud's routes.
+pub fn cloud_routes(config: &mut web::ServiceConfig) {
+    config
+        .route("/flavors", web::get().to(flavors))
+        .route("/rentals", web::get().to(list))
+        .route("/rentals", web::post().to(rent))
+        .route("/rentals/return", web::post().to(give_back));
+}
--- /dev/null
+++ b/crates/world/src/main.rs
@@ -0,0 +1,251 @@
+//! A world on loopback: see foxspur run, and play load and faults against it.
+
+use clap::{Parser, Subcommand};
+use foxspur_client::{Client, Outbox, Settings};
+use foxspur_world::history::{check, Entry};
+use foxspur_world::load::{play, Counts, Tally};
+use foxspur_world::site::{Site, DEFAULT};
+use foxspur_world::world::{program_beside_us, Fault, World};
+use indicatif::{ProgressBar, ProgressStyle};
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Stand-ins for all that foxspur meets, and real controllers, on loopback.
+#[derive(Parser)]
+#[command(version, about)]
+struct Args {
+    #[command(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// Brings the world up, plays a load with faults, says what came of it.
+    Up {
+        /// A site in TOML; there is a small one by default.
+        #[arg(long)]
+        site: Option<PathBuf>,
+        /// Decides arrivals.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many jobs arrive.
+        #[arg(long, default_value_t = 100)]
+        jobs: u64,
+        /// Faults: WHAT[:AMOUNT]@AT[/EVERY], such as kill@5/10 or pause:3@8, of
+        /// kill, kill-all, pause, refuse, state, cloud, die, hang, cut, delay.
+        #[arg(long = "fault", default_values_t = [String::from("cut:200@1"), "kill@8/12".into(), "die@12".into()])]
+        faults: Vec<String>,
+        /// No faults at all.
+        #[arg(long)]
+        calm: bool,
+        /// Where to write the history, as JSON lines.
+        #[arg(long)]
+        history: Option<PathBuf>,
+        /// The controller's program; built with cargo if it is not given.
+        #[arg(long)]
+        foxspur: Option<PathBuf>,
+    },
+    /// Judges a history by the rules.
+    Check {
+        /// JSON lines, as `up --history` writes them.
+        file: PathBuf,
+    },
+}
+
+/// The controller's program, built if need be.
+fn program(given: Option<PathBuf>) -> Result<PathBuf, String> {
+    if let Some(path) = given {
+        return Ok(path);
+    }
+    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".into());
+    let mut build = std::process::Command::new(cargo);
+    build.args([
+        "build",
+        "--quiet",
+        "--package",
+        "foxspur",
+        "--bin",
+        "foxspur",
+    ]);
+    if !cfg!(debug_assertions) {
+        build.arg("--release");
+    }
+    match build.status() {
+        Ok(status) if status.success() => {}
+        Ok(status) => return Err(format!("cargo build ended with {status}")),
+        Err(e) => return Err(format!("cargo build: {e}; name a program with --foxspur")),
+    }
+    program_beside_us()
+        .ok_or_else(|| "no foxspur beside this program; name one with --foxspur".into())
+}
+
+fn judge(entries: &[Entry]) -> ExitCode {
+    let broken = check(entries);
+    for rule in &broken {
+        println!("BROKEN  {rule}");
+    }
+    if broken.is_empty() {
+        println!("rules   none broken in {} events", entries.len());
+        return ExitCode::SUCCESS;
+    }
+    ExitCode::FAILURE
+}
+
+fn summary(counts: &Counts, cuts: usize) {
+    println!(
+        "jobs    {} submitted, {} accepted, {} done, {} withdrawn, {} refused",
+        counts.submitted, counts.accepted, counts.done, counts.withdrawn, counts.refused
+    );
+    for (what, times) in [("accept", &counts.accept_ms), ("done", &counts.done_ms)] {
+        let (p50, p99) = (times.value_at_quantile(0.5), times.value_at_quantile(0.99));
+        println!("{what:7} p50 {p50} ms, p99 {p99} ms");
+    }
+    println!("cuts    {cuts} connections cut");
+}
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt()
+        .with_env_filter(tracing_subscriber::EnvFilter::from_default_env())
+        .with_writer(std::io::stderr)
+        .init();
+    match Args::parse().verb {
+        Verb::Check { file } => {
+            let text = match std::fs::read_to_string(&file) {
+                Ok(text) => text,
+                Err(e) => return fail(&format!("{}: {e}", file.display())),
+            };
+            let mut entries = Vec::new();
+            for (n, line) in text.lines().enumerate() {
+                match serde_json::from_str(line) {
+                    Ok(entry) => entries.push(entry),
+                    Err(e) => return fail(&format!("{}: line {}: {e}", file.display(), n + 1)),
+                }
+            }
+            judge(&entries)
+        }
+        Verb::Up {
+            site,
+            seed,
+            jobs,
+            faults,
+            calm,
+            history,
+            foxspur,
+        } => {
+            let faults = if calm { Vec::new() } else { faults };
+            let faults: Result<Vec<Fault>, String> = faults.iter().map(|f| f.parse()).collect();
+            let text = match &site {
+                Some(path) => {
+                    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
+                }
+                None => Ok(DEFAULT.into()),
+            };
+            let ready = text.and_then(|t| Site::parse(&t));
+            match (ready, faults, program(foxspur)) {
+                (Ok(site), Ok(faults), Ok(program)) => {
+                    let up = up(site, seed, jobs, faults, history, program);
+                    match actix_web::rt::System::new().block_on(up) {
+                        Ok(code) => code,
+                        Err(e) => fail(&e),
+                    }
+                }
+                (Err(e), _, _) | (_, Err(e), _) | (_, _, Err(e)) => fail(&e),
+            }
+        }
+    }
+}
+
+fn fail(why: &str) -> ExitCode {
+    eprintln!("foxspur-world: {why}");
+    ExitCode::from(2)
+}
+
+async fn up(
+    site: Site,
+    seed: u64,
+    jobs: u64,
+    faults: Vec<Fault>,
+    history: Option<PathBuf>,
+    program: PathBuf,
+) -> Result<ExitCode, String> {
+    let dir = tempfile::tempdir().map_err(|e| e.to_string())?;
+    let world = World::up(site, &program, dir.path())
+        .await
+        .map_err(|e| e.to_string())?;
+    println!(
+        "front   http://{} ({} controllers behind it)",
+        world.front,
+        world.fronts.len()
+    );
+    let outbox = Outbox::open(&dir.path().join("outbox"), true).map_err(|e| e.to_string())?;
+    let settings = Settings::new([format!("http://{}", world.front)]);
+    let client = Client::with_outbox(settings, outbox).map_err(|e| e.to_string())?;
+    let span_s = jobs as f64 / world.site.load.jobs_per_s;
+    world.schedule(&faults, span_s);
+    let bar = ProgressBar::new(jobs);
+    let style = ProgressStyle::with_template("{elapsed_precise} {bar:30} {pos}/{len} over  {msg}");
+    bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    let tally = Tally::default();
+    let shown = (bar.clone(), tally.clone());
+    let showing = tokio::spawn(async move {
+        loop {
+            let counts = shown.1.counts();
+            shown
+                .0
+                .set_position(counts.done + counts.withdrawn + counts.refused);
+            shown.0.set_message(format!(
+                "{} submitted, {} accepted",
+                counts.submitted, counts.accepted
+            ));
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+    });
+    let machines = world.machines.clone();
+    let upload = Arc::new(move |id, spec| machines.upload(id, spec));
+    let settle = Duration::from_secs(120);
+    let load = play(
+        &client,
+        &world.site,
+        &world.history,
+        upload,
+        (seed, jobs, settle),
+        &tally,
+    );
+    let finished = tokio::select! {
+        () = load => true,
+        _ = tokio::signal::ctrl_c() => false,
+    };
+    showing.abort();
+    bar.finish_and_clear();
+    if !finished {
+        println!("ended   by Ctrl-C; what is open stays open");
+    }
+    let ended = world.ended().await;
+    world.down().await;
+    summary(&tally.counts(), world.trouble.cuts.load(Ordering::Relaxed));
+    let entries = world.history.entries();
+    if let Some(path) = history {
+        let mut file =
+            std::fs::File::create(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        for entry in &entries {
+            let line = serde_json::to_string(entry).map_err(|e| e.to_string())?;
+            writeln!(file, "{line}").map_err(|e| e.to_string())?;
+        }
+    }
+    // One that was killed a moment ago is on its way back.
+    if ended.len() > 1 {
+        println!(
+            "ENDED   {} controllers are not running:\n{}",
+            ended.len(),
+            ended.join("\n")
+        );
+    }
+    if !finished {
+        return Ok(ExitCode::SUCCESS);
+    }
+    Ok(judge(&entries))
+}
--- a/tests/common/store.rs
+++ b/crates/world/src/store.rs
@@ -1,7 +1,7 @@
 //! A state service by the protocol, in passed-in time: versions, conditions,
 //! leases, the history that a watch reads.
 
-use foxspur::protocol::state::{Change, Entry, Txn};
+use foxspur_wire::state::{Change, Entry, Txn};
 use serde_json::value::RawValue;
 use std::collections::BTreeMap;
 
--- /dev/null
+++ b/crates/world/src/world.rs
@@ -0,0 +1,256 @@
+//! Everything together: stand-ins, real controllers, faults on a schedule.
+
+use crate::balancer::{self, Trouble};
+use crate::controllers::{Controller, Place};
+use crate::history::{Event, History};
+use crate::machines::{self, CameTo, Machines};
+use crate::site::Site;
+use crate::state::{self, StateService};
+use actix_web::{web, App, HttpServer};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Mutex;
+
+/// A fault: `kill`, `kill-all`, `pause:S`, `refuse:S` (one controller by the state
+/// service), `state:S` and `cloud:S` (away), `die`, `hang:S` (a machine),
+/// `cut:N` (of a thousand answers), `delay:MS`.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Fault {
+    pub what: String,
+    pub amount: f64,
+    /// When, in seconds from the start, and again after as many.
+    pub at_s: f64,
+    pub every_s: Option<f64>,
+}
+
+impl std::str::FromStr for Fault {
+    type Err = String;
+    /// `WHAT[:AMOUNT]@AT[/EVERY]`, such as `pause:3@10/20`.
+    fn from_str(text: &str) -> Result<Fault, String> {
+        let bad = || format!("fault {text}: not of the form WHAT[:AMOUNT]@AT[/EVERY]");
+        let (what, when) = text.split_once('@').ok_or_else(bad)?;
+        let (what, amount) = what.split_once(':').unwrap_or((what, "0"));
+        let (at, every) = match when.split_once('/') {
+            Some((at, every)) => (at, Some(every)),
+            None => (when, None),
+        };
+        let number = |t: &str| t.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0);
+        let known = [
+            "kill", "kill-all", "pause", "refuse", "state", "cloud", "die", "hang", "cut", "delay",
+        ];
+        if !known.contains(&what) {
+            return Err(format!(
+                "fault {text}: {what} is none of {}",
+                known.join(", ")
+            ));
+        }
+        let every_s = match every {
+            Some(every) => Some(number(every).filter(|s| *s >= 0.1).ok_or_else(bad)?),
+            None => None,
+        };
+        Ok(Fault {
+            what: what.into(),
+            amount: number(amount).ok_or_else(bad)?,
+            at_s: number(at).ok_or_else(bad)?,
+            every_s,
+        })
+    }
+}
+
+/// A world that is up.
+#[derive(Clone)]
+pub struct World {
+    pub site: Arc<Site>,
+    pub history: History,
+    pub machines: Machines,
+    pub state: StateService,
+    pub trouble: Trouble,
+    /// The load balancer's address, and the controllers' own.
+    pub front: SocketAddr,
+    pub fronts: Vec<SocketAddr>,
+    controllers: Arc<Mutex<Vec<Controller>>>,
+}
+
+fn free() -> std::io::Result<TcpListener> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+/// Starts a server on this thread's runtime, stopped with it.
+macro_rules! serve {
+    ($data:expr, $routes:path, $listeners:expr) => {{
+        let data = web::Data::new($data);
+        let mut server =
+            HttpServer::new(move || App::new().app_data(data.clone()).configure($routes))
+                .workers(1)
+                .disable_signals()
+                .on_connect(|connection, data| {
+                    let stream = connection.downcast_ref::<actix_web::rt::net::TcpStream>();
+                    if let Some(addr) = stream.and_then(|s| s.local_addr().ok()) {
+                        data.insert(CameTo(addr));
+                    }
+                });
+        for listener in $listeners {
+            server = server.listen(listener)?;
+        }
+        actix_web::rt::spawn(server.run());
+    }};
+}
+
+impl World {
+    /// Brings everything up; files go into `dir`. Runs in an actix runtime.
+    pub async fn up(site: Site, program: &Path, dir: &Path) -> std::io::Result<World> {
+        let site = Arc::new(site);
+        let history = History::default();
+        for team in &site.teams {
+            history.add(Event::Rules {
+                team: team.name.clone(),
+                cpus_max: team.cpus_max,
+                cancel_s: site.workers.cancel_s,
+            });
+        }
+        let state = StateService::new(site.state.rps, site.state.write_rps);
+        let (cloud, mut places) = (free()?, Vec::new());
+        for n in 0..site.controllers {
+            let listener = free()?;
+            // Their ports are found free and given up again for them.
+            let (front, mesh) = (free()?.local_addr()?, free()?.local_addr()?);
+            places.push(Place {
+                name: format!("berth-{n}"),
+                zone: site.zones[n % site.zones.len()].clone(),
+                front,
+                mesh,
+                state: listener.local_addr()?,
+            });
+            serve!(state.face(n), state::routes, [listener]);
+        }
+        let kinds = 2 * site.types.len() * site.zones.len();
+        let listeners = (0..kinds * site.capacity as usize).map(|_| free());
+        let listeners = listeners.collect::<std::io::Result<Vec<_>>>()?;
+        let addrs = listeners
+            .iter()
+            .map(|l| l.local_addr())
+            .collect::<Result<_, _>>()?;
+        let fronts = places
+            .iter()
+            .map(|p| (p.name.clone(), format!("http://{}", p.front)));
+        let machines = Machines::new(site.clone(), history.clone(), fronts.collect(), addrs);
+        let cloud_addr = cloud.local_addr()?;
+        serve!(machines.clone(), machines::cloud_routes, [cloud]);
+        serve!(machines.clone(), machines::worker_routes, listeners);
+        let mut controllers = Vec::new();
+        for n in 0..places.len() {
+            let mut controller = Controller::new(program, dir, &site, &places, n, cloud_addr)?;
+            controller.start()?;
+            controllers.push(controller);
+        }
+        let trouble = Trouble::default();
+        let balancer = tokio::net::TcpListener::from_std(free()?)?;
+        let front = balancer.local_addr()?;
+        let fronts: Vec<SocketAddr> = places.iter().map(|p| p.front).collect();
+        balancer::run(balancer, fronts.clone(), trouble.clone());
+        let world = World {
+            site,
+            history,
+            machines,
+            state,
+            trouble,
+            front,
+            fronts,
+            controllers: Arc::new(Mutex::new(controllers)),
+        };
+        Ok(world)
+    }
+
+    /// Controllers that are not running though nobody killed them, and what they
+    /// said last. Call it with no fault under way.
+    pub async fn ended(&self) -> Vec<String> {
+        let mut controllers = self.controllers.lock().await;
+        let ended = controllers
+            .iter_mut()
+            .filter_map(|c| (!c.runs()).then(|| c.last_words()));
+        ended.collect()
+    }
+
+    /// Makes a fault now, and undoes it in its time.
+    pub async fn strike(&self, fault: &Fault) {
+        let (s, count) = (fault.amount, self.fronts.len());
+        let n = rand::random_range(0..count);
+        let mut what = format!("{} {s}", fault.what);
+        match fault.what.as_str() {
+            "kill" => self.restart(n, n + 1).await,
+            "kill-all" => self.restart(0, count).await,
+            "pause" => {
+                let world = self.clone();
+                self.controllers.lock().await[n].pause(true).await;
+                actix_web::rt::spawn(async move {
+                    tokio::time::sleep(Duration::from_secs_f64(s)).await;
+                    world.controllers.lock().await[n].pause(false).await;
+                });
+            }
+            "refuse" => self.state.refuse(n, s),
+            "state" => self.state.away(s),
+            "cloud" => self.machines.away(s),
+            "die" => what += &format!(" {:?}", self.machines.strike(None)),
+            "hang" => what += &format!(" {:?}", self.machines.strike(Some(s))),
+            "cut" => self.trouble.set(s as u64, 0),
+            _ => self.trouble.set(0, s as u64),
+        }
+        tracing::info!(%what, controller = n, "fault");
+        self.history.add(Event::Fault { what });
+    }
+
+    async fn restart(&self, from: usize, to: usize) {
+        let mut controllers = self.controllers.lock().await;
+        for controller in &mut controllers[from..to] {
+            controller.kill().await;
+        }
+        drop(controllers);
+        let world = self.clone();
+        actix_web::rt::spawn(async move {
+            tokio::time::sleep(Duration::from_secs_f64(world.site.restart_s)).await;
+            for controller in &mut world.controllers.lock().await[from..to] {
+                if !controller.runs() {
+                    let _ = controller.start();
+                }
+            }
+        });
+    }
+
+    /// Makes these faults at their times until `until_s`.
+    pub fn schedule(&self, faults: &[Fault], until_s: f64) {
+        for fault in faults.iter().cloned() {
+            let world = self.clone();
+            actix_web::rt::spawn(async move {
+                let mut at = fault.at_s;
+                while at < until_s {
+                    let wait = (at - world.history.now()).max(0.0);
+                    tokio::time::sleep(Duration::from_secs_f64(wait)).await;
+                    world.strike(&fault).await;
+                    match fault.every_s {
+                        Some(every) => at += every,
+                        None => return,
+                    }
+                }
+            });
+        }
+    }
+
+    /// Ends all controllers.
+    pub async fn down(&self) {
+        for controller in self.controllers.lock().await.iter_mut() {
+            controller.pause(false).await;
+            controller.kill().await;
+        }
+    }
+}
+
+/// The controller's program: beside ours, as cargo puts it.
+pub fn program_beside_us() -> Option<PathBuf> {
+    let ours = std::env::current_exe().ok()?;
+    let path = ours.parent()?.join("foxspur");
+    path.exists().then_some(path)
+}
--- /dev/null
+++ b/crates/world/tests/history.rs
@@ -0,0 +1,127 @@
+//! The checker finds what it is there for, and faults and sites name what is
+//! wrong with them.
+
+use foxspur_world::history::{check, Entry, Event};
+use foxspur_world::site::{Site, DEFAULT};
+use foxspur_world::world::Fault;
+
+fn on(task: &str, attempt: u64, machine: &str) -> Event {
+    Event::On {
+        task: task.into(),
+        attempt,
+        machine: machine.into(),
+        team: "t".into(),
+        cpus: 2.0,
+    }
+}
+
+fn off(task: &str, attempt: u64, machine: &str) -> Event {
+    Event::Off {
+        task: task.into(),
+        attempt,
+        machine: machine.into(),
+        done: true,
+    }
+}
+
+fn told(key: &str, job: &str, what: &str) -> Event {
+    Event::Told {
+        key: key.into(),
+        job: job.into(),
+        what: what.into(),
+    }
+}
+
+#[test]
+fn each_rule_is_found_broken() {
+    let limits = Event::Rules {
+        team: "t".into(),
+        cpus_max: 3.0,
+        cancel_s: 5.0,
+    };
+    let cancelled = || Event::Cancelled {
+        job: "run-1".into(),
+    };
+    let run = || {
+        vec![
+            (1.0, on("run-1/0", 1, "m1")),
+            (2.0, off("run-1/0", 1, "m1")),
+        ]
+    };
+    // What happens besides one task that runs, and the rule that it breaks.
+    let cases: [(Vec<(f64, Event)>, &str); 8] = [
+        (vec![], ""),
+        (vec![(1.5, on("run-1/0", 2, "m2"))], "ran_twice"),
+        (vec![(1.5, on("run-2/0", 2, "m2"))], "quota"),
+        (vec![(2.5, on("run-2/0", 2, "m2"))], ""),
+        (
+            vec![(2.5, cancelled()), (8.0, on("run-1/1", 2, "m2"))],
+            "ran_cancelled",
+        ),
+        (
+            vec![
+                (3.0, told("k", "run-1", "done")),
+                (4.0, told("k", "run-1", "withdrawn")),
+            ],
+            "went_back",
+        ),
+        (
+            vec![
+                (3.0, told("k", "run-1", "known")),
+                (4.0, told("k", "run-2", "known")),
+            ],
+            "two jobs",
+        ),
+        (
+            vec![
+                (3.0, told("k", "run-1", "done")),
+                (4.0, told("k", "run-1", "done")),
+            ],
+            "",
+        ),
+    ];
+    for (more, rule) in cases {
+        let mut all = vec![(0.0, limits.clone())];
+        all.extend(run());
+        all.extend(more.clone());
+        all.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let entries: Vec<Entry> = all
+            .into_iter()
+            .map(|(at, event)| Entry { at, event })
+            .collect();
+        let broken = check(&entries);
+        match rule {
+            "" => assert!(broken.is_empty(), "{more:?}: {broken:?}"),
+            rule => assert!(
+                broken.iter().any(|b| b.starts_with(rule)),
+                "{rule}: {broken:?}"
+            ),
+        }
+    }
+    assert!(check(&[])[0].starts_with("nothing_ran"));
+}
+
+#[test]
+fn faults_and_sites_name_what_is_wrong() {
+    for (text, good) in [
+        ("kill@5", true),
+        ("pause:3@8/20", true),
+        ("pause@x", false),
+        ("melt@5", false),
+        ("kill", false),
+        ("kill@5/0", false),
+        ("cut:-1@5", false),
+    ] {
+        assert_eq!(text.parse::<Fault>().is_ok(), good, "{text}");
+    }
+    assert!(Site::parse(DEFAULT).is_ok());
+    for (from, to, field) in [
+        ("controllers = 3", "controllers = 0", "controllers"),
+        ("lease_s = 8.0", "lease_s = 0.1", "lease_s"),
+        ("tasks = 6", "tasks = 0", "load.tasks"),
+        ("tasks = 6", "taks = 6", "taks"),
+    ] {
+        let error = Site::parse(&DEFAULT.replacen(from, to, 1)).unwrap_err();
+        assert!(error.contains(field), "{to}: {error}");
+    }
+}
--- a/tests/pause.rs
+++ b/tests/pause.rs
@@ -9,18 +9,15 @@
 //! - no owner takes a check of its ownership for newer than the takeover by
 //!   which it lost it.
 
-#[path = "common/store.rs"]
-mod store;
-
 use foxspur::coordination::member::taking::{Claim, Rewrite};
 use foxspur::coordination::member::tenure::{LeaseStep, Tenure, Terms};
 use foxspur::protocol::state::{Entry, Txn};
 use foxspur::storage::records::{self, Alive, Share};
+use foxspur_world::store::{Logged, Refusal, Store};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use store::{Logged, Refusal, Store};
 
 /// A worker's lease; a controller's own is a quarter of it.
 const LEASE_S: f64 = 16.0;
--- a/tests/tenure.rs
+++ b/tests/tenure.rs
@@ -1,14 +1,11 @@
 //! What an owner may conclude from answers that come late, one case each; the
 //! simulation in tests/pause.rs looks for the cases that are not here.
 
-#[path = "common/store.rs"]
-mod store;
-
 use foxspur::coordination::member::taking::Claim;
 use foxspur::coordination::member::tenure::{LeaseStep, Tenure, Terms};
 use foxspur::protocol::state::{Entry, Txn};
 use foxspur::storage::records::{self, Alive};
-use store::Store;
+use foxspur_world::store::Store;
 
 const LIFE_S: f64 = 4.0;
 
