World: load from another process, resets at a byte; hedging and a full disk under test

Need: the issue's separate verbs, faults at the n-th byte, and tests for the hedge and for a disk that is full under a client.

--- a/crates/client/tests/client.rs
+++ b/crates/client/tests/client.rs
@@ -3,7 +3,9 @@
 
 mod support;
 
-use foxspur_client::{AskError, Cancelled, Client, NotQueued, Outbox, Outcome, Submitted, Told};
+use foxspur_client::{
+    AskError, Cancelled, Client, NotQueued, Outbox, OutboxError, Outcome, Submitted, Told,
+};
 use std::future::Future;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -285,3 +287,54 @@
         assert!(in_second <= 100, "{in_second} polls in second {s}");
     }
 }
+
+/// A full disk: the caller hears of it, and nothing was sent.
+#[tokio::test(start_paused = true)]
+async fn what_cannot_be_written_is_not_sent() {
+    let cluster = Cluster::new(|_, _, _| Fate::Arrives);
+    let disk = disk::Power::default();
+    let outbox = Outbox::with_backend(disk.clone(), true).unwrap();
+    let client = client(&cluster, 1, outbox);
+    disk.fails_after(0, std::io::ErrorKind::StorageFull);
+    let refused = client.submit(vec![work("a", "t")], secs(5)).await;
+    assert_eq!(refused, Err(OutboxError::Full));
+    tokio::time::sleep(secs(60)).await;
+    assert_eq!(cluster.requests(), 0);
+}
+
+/// A poll that is slower than nearly all is asked of a second front, no oftener
+/// than the budget of retries allows.
+#[tokio::test(start_paused = true)]
+async fn slow_polls_are_hedged_within_the_budget() {
+    let cluster = Cluster::new(|inner, front, request| {
+        let later = inner.requests.len() > 60;
+        match (&request.body, front) {
+            (None, 0) if later => Fate::Slow(1_500),
+            _ => Fate::Arrives,
+        }
+    });
+    let client = client(&cluster, 2, memory());
+    for n in 0..40 {
+        let told = one(&client, &format!("k{n}"), 30).await;
+        assert!(matches!(told, Submitted::Accepted(_)), "{n}");
+    }
+    tokio::time::sleep(secs(120)).await;
+    assert_eq!(client.len(), Ok((40, 0)));
+    let inner = cluster.inner.lock().unwrap();
+    let polls: Vec<_> = inner
+        .requests
+        .iter()
+        .filter(|r| r.2.contains("/run-"))
+        .collect();
+    // The same job asked about at both fronts within a second.
+    let hedged = |a: &&&(Instant, usize, String)| {
+        let other = |b: &&(Instant, usize, String)| {
+            b.2 == a.2 && b.1 == 1 && b.0 > a.0 && (b.0 - a.0).as_millis() < 1_000
+        };
+        a.1 == 0 && polls.iter().any(other)
+    };
+    let count = polls.iter().filter(hedged).count();
+    // A fifth of the first attempts, what was saved up, and the trickle.
+    let allowed = inner.requests.len() / 5 + 10 + 25;
+    assert!(count > 3 && count <= allowed, "{count} of {}", polls.len());
+}
--- a/crates/world/src/balancer.rs
+++ b/crates/world/src/balancer.rs
@@ -15,6 +15,8 @@
     cut: Arc<AtomicU64>,
     /// Delay of each piece, in milliseconds.
     delay_ms: Arc<AtomicU64>,
+    /// The next answer is cut after so many bytes, less one; 0 for none.
+    reset: Arc<AtomicUsize>,
     pub cuts: Arc<AtomicUsize>,
 }
 
@@ -23,6 +25,11 @@
         self.cut.store(cut_of_thousand, Ordering::Relaxed);
         self.delay_ms.store(delay_ms, Ordering::Relaxed);
     }
+
+    /// Cuts the next answer after just this many bytes.
+    pub fn reset_at(&self, bytes: usize) {
+        self.reset.store(bytes + 1, Ordering::Relaxed);
+    }
 }
 
 struct Node {
@@ -115,8 +122,14 @@
                 tokio::time::sleep(Duration::from_millis(delay)).await;
             }
             let cut = rand::random_range(0..1000) < trouble.cut.load(Ordering::Relaxed);
+            let reset = trouble.reset.swap(0, Ordering::Relaxed);
             // Anywhere in the answer, or before its first byte.
-            let left = if cut { rand::random_range(0..n) } else { n };
+            let left = match (reset, cut) {
+                (1.., _) => (reset - 1).min(n),
+                (0, true) => rand::random_range(0..n),
+                (0, false) => n,
+            };
+            let cut = cut || reset > 0;
             to_user.write_all(&piece[..left]).await.ok()?;
             if cut {
                 trouble.cuts.fetch_add(1, Ordering::Relaxed);
--- a/crates/world/src/machines.rs
+++ b/crates/world/src/machines.rs
@@ -541,6 +541,30 @@
     })
 }
 
+/// A user uploads the description of a job.
+async fn upload(machines: Data, spec: web::Json<JobSpec>) -> HttpResponse {
+    let spec = spec.into_inner();
+    machines.upload(spec.id.clone(), spec);
+    HttpResponse::Ok().json(json!({}))
+}
+
+/// What happened so far, as JSON lines.
+async fn history(machines: Data) -> HttpResponse {
+    let entries = machines.history.entries();
+    let lines = entries.iter().filter_map(|e| serde_json::to_string(e).ok());
+    let text: String = lines.map(|l| l + "\n").collect();
+    HttpResponse::Ok()
+        .content_type("application/jsonl")
+        .body(text)
+}
+
+/// Routes for whoever plays a load from another process.
+pub fn control_routes(config: &mut web::ServiceConfig) {
+    config
+        .route("/jobs", web::post().to(upload))
+        .route("/history", web::get().to(history));
+}
+
 /// The cloud's routes.
 pub fn cloud_routes(config: &mut web::ServiceConfig) {
     config
--- a/crates/world/src/main.rs
+++ b/crates/world/src/main.rs
@@ -2,13 +2,14 @@
 
 use clap::{Parser, Subcommand};
 use foxspur_client::{Client, Outbox, Settings};
-use foxspur_world::history::{check, Entry};
+use foxspur_wire::job::JobSpec;
+use foxspur_world::history::{check, Entry, History};
 use foxspur_world::load::{play, Counts, Tally};
 use foxspur_world::site::{Site, DEFAULT};
 use foxspur_world::world::{program_beside_us, Fault, World};
 use indicatif::{ProgressBar, ProgressStyle};
 use std::io::Write;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -42,6 +43,9 @@
         /// No faults at all.
         #[arg(long)]
         calm: bool,
+        /// Play no load: stay up until Ctrl-C, for `load` from another terminal.
+        #[arg(long)]
+        hold: bool,
         /// Where to write the history, as JSON lines.
         #[arg(long)]
         history: Option<PathBuf>,
@@ -49,6 +53,25 @@
         #[arg(long)]
         foxspur: Option<PathBuf>,
     },
+    /// Plays a load against a world that `up --hold` keeps up.
+    Load {
+        /// Base URL of the front, as `up` prints it.
+        #[arg(long)]
+        front: String,
+        /// Base URL of the control address, as `up` prints it.
+        #[arg(long)]
+        control: String,
+        /// The world's site, if it is not the default one.
+        #[arg(long)]
+        site: Option<PathBuf>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 100)]
+        jobs: u64,
+        /// Where to write both histories together, as JSON lines.
+        #[arg(long)]
+        history: Option<PathBuf>,
+    },
     /// Judges a history by the rules.
     Check {
         /// JSON lines, as `up --history` writes them.
@@ -118,14 +141,24 @@
                 Ok(text) => text,
                 Err(e) => return fail(&format!("{}: {e}", file.display())),
             };
-            let mut entries = Vec::new();
-            for (n, line) in text.lines().enumerate() {
-                match serde_json::from_str(line) {
-                    Ok(entry) => entries.push(entry),
-                    Err(e) => return fail(&format!("{}: line {}: {e}", file.display(), n + 1)),
-                }
+            match read_lines(&text) {
+                Ok(entries) => judge(&entries),
+                Err(e) => fail(&format!("{}: {e}", file.display())),
             }
-            judge(&entries)
+        }
+        Verb::Load {
+            front,
+            control,
+            site,
+            seed,
+            jobs,
+            history,
+        } => {
+            let loaded = read_site(site).and_then(|site| {
+                let load = load(site, front, control, seed, jobs, history);
+                actix_web::rt::System::new().block_on(load)
+            });
+            loaded.unwrap_or_else(|e| fail(&e))
         }
         Verb::Up {
             site,
@@ -133,18 +166,14 @@
             jobs,
             faults,
             calm,
+            hold,
             history,
             foxspur,
         } => {
+            let jobs = if hold { 0 } else { jobs };
             let faults = if calm { Vec::new() } else { faults };
             let faults: Result<Vec<Fault>, String> = faults.iter().map(|f| f.parse()).collect();
-            let text = match &site {
-                Some(path) => {
-                    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
-                }
-                None => Ok(DEFAULT.into()),
-            };
-            let ready = text.and_then(|t| Site::parse(&t));
+            let ready = read_site(site);
             match (ready, faults, program(foxspur)) {
                 (Ok(site), Ok(faults), Ok(program)) => {
                     let up = up(site, seed, jobs, faults, history, program);
@@ -159,6 +188,78 @@
     }
 }
 
+fn read_site(path: Option<PathBuf>) -> Result<Site, String> {
+    let text = match &path {
+        Some(path) => {
+            std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?
+        }
+        None => DEFAULT.into(),
+    };
+    Site::parse(&text)
+}
+
+fn read_lines(text: &str) -> Result<Vec<Entry>, String> {
+    let read = |(n, line): (usize, &str)| {
+        serde_json::from_str(line).map_err(|e| format!("line {}: {e}", n + 1))
+    };
+    text.lines().enumerate().map(read).collect()
+}
+
+fn write_lines(path: &Path, entries: &[Entry]) -> Result<(), String> {
+    let failed = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    let mut file = std::fs::File::create(path).map_err(|e| failed(&e))?;
+    for entry in entries {
+        let line = serde_json::to_string(entry).map_err(|e| e.to_string())?;
+        writeln!(file, "{line}").map_err(|e| failed(&e))?;
+    }
+    Ok(())
+}
+
+/// Plays a load against a world in another process, and judges what both saw.
+async fn load(
+    site: Site,
+    front: String,
+    control: String,
+    seed: u64,
+    jobs: u64,
+    history: Option<PathBuf>,
+) -> Result<ExitCode, String> {
+    let http = reqwest::Client::builder().no_proxy().build();
+    let http = http.map_err(|e| e.to_string())?;
+    let outbox = Outbox::in_memory().map_err(|e| e.to_string())?;
+    let client = Client::with_outbox(Settings::new([front]), outbox).map_err(|e| e.to_string())?;
+    let (tally, ours) = (Tally::default(), History::default());
+    let url = format!("{control}/jobs");
+    let uploads = http.clone();
+    let upload = Arc::new(move |id, spec| {
+        let spec = JobSpec { id, ..spec };
+        let body = serde_json::to_string(&spec).unwrap_or_default();
+        let post = uploads
+            .post(&url)
+            .header("content-type", "application/json");
+        tokio::spawn(post.body(body).send());
+    });
+    let arrivals = (seed, jobs, Duration::from_secs(120));
+    play(&client, &site, &ours, upload, arrivals, &tally).await;
+    summary(&tally.counts(), 0);
+    let text = async {
+        let got = http.get(format!("{control}/history")).send().await?;
+        got.text().await
+    };
+    let mut entries = read_lines(&text.await.map_err(|e| e.to_string())?)?;
+    // Two clocks that began at different times; what users were told comes
+    // after, which is when it was known.
+    let last = entries.last().map_or(0.0, |e| e.at);
+    entries.extend(ours.entries().into_iter().map(|e| Entry {
+        at: last + e.at,
+        ..e
+    }));
+    if let Some(path) = history {
+        write_lines(&path, &entries)?;
+    }
+    Ok(judge(&entries))
+}
+
 fn fail(why: &str) -> ExitCode {
     eprintln!("foxspur-world: {why}");
     ExitCode::from(2)
@@ -181,9 +282,16 @@
         world.front,
         world.fronts.len()
     );
+    println!("control http://{}", world.control);
     let outbox = Outbox::open(&dir.path().join("outbox"), true).map_err(|e| e.to_string())?;
     let settings = Settings::new([format!("http://{}", world.front)]);
     let client = Client::with_outbox(settings, outbox).map_err(|e| e.to_string())?;
+    if jobs == 0 {
+        world.schedule(&faults, f64::MAX);
+        let _ = tokio::signal::ctrl_c().await;
+        world.down().await;
+        return Ok(ExitCode::SUCCESS);
+    }
     let span_s = jobs as f64 / world.site.load.jobs_per_s;
     world.schedule(&faults, span_s);
     let bar = ProgressBar::new(jobs);
@@ -229,12 +337,7 @@
     summary(&tally.counts(), world.trouble.cuts.load(Ordering::Relaxed));
     let entries = world.history.entries();
     if let Some(path) = history {
-        let mut file =
-            std::fs::File::create(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-        for entry in &entries {
-            let line = serde_json::to_string(entry).map_err(|e| e.to_string())?;
-            writeln!(file, "{line}").map_err(|e| e.to_string())?;
-        }
+        write_lines(&path, &entries)?;
     }
     // One that was killed a moment ago is on its way back.
     if ended.len() > 1 {
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -15,7 +15,8 @@
 
 /// A fault: `kill`, `kill-all`, `pause:S`, `refuse:S` (one controller by the state
 /// service), `state:S` and `cloud:S` (away), `die`, `hang:S` (a machine),
-/// `cut:N` (of a thousand answers), `delay:MS`.
+/// `cut:N` (of a thousand answers), `reset:N` (the next answer after byte N),
+/// `delay:MS`.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Fault {
     pub what: String,
@@ -38,7 +39,8 @@
         };
         let number = |t: &str| t.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0);
         let known = [
-            "kill", "kill-all", "pause", "refuse", "state", "cloud", "die", "hang", "cut", "delay",
+            "kill", "kill-all", "pause", "refuse", "state", "cloud", "die", "hang", "cut", "reset",
+            "delay",
         ];
         if !known.contains(&what) {
             return Err(format!(
@@ -67,6 +69,8 @@
     pub machines: Machines,
     pub state: StateService,
     pub trouble: Trouble,
+    /// Where descriptions are uploaded and the history is read.
+    pub control: SocketAddr,
     /// The load balancer's address, and the controllers' own.
     pub front: SocketAddr,
     pub fronts: Vec<SocketAddr>,
@@ -141,6 +145,9 @@
         let cloud_addr = cloud.local_addr()?;
         serve!(machines.clone(), machines::cloud_routes, [cloud]);
         serve!(machines.clone(), machines::worker_routes, listeners);
+        let control = free()?;
+        let control_addr = control.local_addr()?;
+        serve!(machines.clone(), machines::control_routes, [control]);
         let mut controllers = Vec::new();
         for n in 0..places.len() {
             let mut controller = Controller::new(program, dir, &site, &places, n, cloud_addr)?;
@@ -158,6 +165,7 @@
             machines,
             state,
             trouble,
+            control: control_addr,
             front,
             fronts,
             controllers: Arc::new(Mutex::new(controllers)),
@@ -197,6 +205,7 @@
             "die" => what += &format!(" {:?}", self.machines.strike(None)),
             "hang" => what += &format!(" {:?}", self.machines.strike(Some(s))),
             "cut" => self.trouble.set(s as u64, 0),
+            "reset" => self.trouble.reset_at(s as usize),
             _ => self.trouble.set(0, s as u64),
         }
         tracing::info!(%what, controller = n, "fault");
