Client: a broken connection is no sign of load; slow start; a shorter first wait

Change: timeouts and refusals shrink it, broken connections count against their front alone; it grows by one with each answer until it first shrinks; the first retry waits 1 to 2 s.

--- a/crates/client/src/engine.rs
+++ b/crates/client/src/engine.rs
@@ -541,7 +541,8 @@
 fn outcome(ended: &Result<Answer, NoAnswer>, took_s: f64) -> Ended {
     match ended {
         Ok(answer) if !matches!(answer.status, 429 | 500..) => Ended::Answered(took_s),
-        _ => Ended::Overloaded,
+        Ok(_) | Err(NoAnswer::TimedOut) => Ended::Overloaded,
+        Err(NoAnswer::Broken(_)) => Ended::Broken,
     }
 }
 
--- a/crates/client/src/fronts.rs
+++ b/crates/client/src/fronts.rs
@@ -92,7 +92,7 @@
                     front.ejections = 0;
                 }
             }
-            Ended::Overloaded => {
+            Ended::Overloaded | Ended::Broken => {
                 front.failures += 1;
                 if front.failures >= FAILURES && now >= front.out_until {
                     let pause = PAUSE_S * 2f64.powi(front.ejections.min(5) as i32);
--- a/crates/client/src/pace.rs
+++ b/crates/client/src/pace.rs
@@ -9,7 +9,9 @@
 /// Jitter", AWS Architecture Blog, 2015). The protocol asks for a second at
 /// least, and for `Retry-After` up to 30 s where that is longer.
 pub fn backoff(failures: u32, retry_after: Option<f64>, rng: &mut impl Rng) -> f64 {
-    let bound = 2f64.powi(failures.min(10) as i32).min(MOST_WAIT_S);
+    let bound = 2f64
+        .powi(failures.saturating_sub(1).min(10) as i32)
+        .min(MOST_WAIT_S);
     let asked = retry_after.unwrap_or(0.0).clamp(0.0, MOST_WAIT_S);
     // What all were told to wait for they would end together: jitter on top.
     1.0 + (asked - 1.0).max(0.0) + rng.random_range(0.0..=bound)
@@ -114,6 +116,8 @@
     /// Latencies of late, and when it last shrank.
     recent: VecDeque<f64>,
     shrunk_at: f64,
+    /// Until it shrinks for the first time it grows by one with each answer.
+    slow_start: bool,
 }
 
 /// How an attempt ended, for those who pace.
@@ -121,8 +125,11 @@
 pub enum Ended {
     /// Answered after this many seconds.
     Answered(f64),
-    /// 429, 503, 504, no answer in time, no connection.
+    /// 429, 5xx, no answer in time.
     Overloaded,
+    /// The connection broke or was not made: that front may be gone, but it
+    /// says nothing of how much the others can take.
+    Broken,
 }
 
 impl InFlight {
@@ -133,6 +140,7 @@
             under_way: 0,
             recent: VecDeque::new(),
             shrunk_at: f64::NEG_INFINITY,
+            slow_start: true,
         }
     }
 
@@ -156,6 +164,7 @@
     pub fn end(&mut self, ended: Ended, now: f64) {
         self.under_way = self.under_way.saturating_sub(1);
         let congested = match ended {
+            Ended::Broken => return,
             Ended::Overloaded => true,
             Ended::Answered(s) => {
                 self.recent.push_back(s);
@@ -168,9 +177,15 @@
             }
         };
         if !congested {
-            self.limit = (self.limit + 1.0 / self.limit).min(self.most);
+            let more = if self.slow_start {
+                1.0
+            } else {
+                1.0 / self.limit
+            };
+            self.limit = (self.limit + more).min(self.most);
         } else if now - self.shrunk_at > 1.0 {
             // Once a second at most: what was under way together fails together.
+            self.slow_start = false;
             self.limit = (self.limit * 0.7).max(1.0);
             self.shrunk_at = now;
         }
--- a/crates/client/src/transport.rs
+++ b/crates/client/src/transport.rs
@@ -23,8 +23,14 @@
 
 /// Why there is no answer. It may have been carried out all the same.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("{0}")]
-pub struct NoAnswer(pub String);
+pub enum NoAnswer {
+    /// The time was up: the other side, or the way there, has too much to do.
+    #[error("no answer in time")]
+    TimedOut,
+    /// The connection broke, or was never made.
+    #[error("{0}")]
+    Broken(String),
+}
 
 /// A future that a transport gives.
 pub type Call<'a> = Pin<Box<dyn Future<Output = Result<Answer, NoAnswer>> + Send + 'a>>;
@@ -54,7 +60,7 @@
             .retry(reqwest::retry::never())
             .no_proxy()
             .build()
-            .map_err(|e| NoAnswer(e.to_string()))?;
+            .map_err(|e| NoAnswer::Broken(e.to_string()))?;
         let fronts = fronts.iter().map(|f| f.trim_end_matches('/').to_string());
         Ok(Http {
             client,
@@ -63,7 +69,7 @@
     }
 
     async fn exchange(&self, front: usize, request: Request) -> Result<Answer, NoAnswer> {
-        let failed = |e: reqwest::Error| NoAnswer(e.without_url().to_string());
+        let failed = |e: reqwest::Error| NoAnswer::Broken(e.without_url().to_string());
         let base = self.fronts.get(front).map_or("", String::as_str);
         let url = format!("{base}{}", request.path);
         let call = match request.body {
@@ -78,7 +84,7 @@
         let mut body = Vec::new();
         while let Some(chunk) = response.chunk().await.map_err(failed)? {
             if body.len() + chunk.len() > MOST_BYTES {
-                return Err(NoAnswer("answer over 64 KiB".into()));
+                return Err(NoAnswer::Broken("answer over 64 KiB".into()));
             }
             body.extend_from_slice(&chunk);
         }
@@ -95,7 +101,7 @@
         Box::pin(async move {
             tokio::time::timeout(timeout, self.exchange(front, request))
                 .await
-                .unwrap_or_else(|_| Err(NoAnswer("no answer in time".into())))
+                .unwrap_or(Err(NoAnswer::TimedOut))
         })
     }
 }
--- a/crates/client/tests/pace.rs
+++ b/crates/client/tests/pace.rs
@@ -31,11 +31,11 @@
     // (failures, Retry-After, at least, at most)
     for (failures, after, least, most) in [
         (0, None, 1.0, 2.0),
-        (3, None, 1.0, 9.0),
+        (3, None, 1.0, 5.0),
         (60, None, 1.0, 31.0),
-        (1, Some(10.0), 10.0, 12.0),
-        (1, Some(900.0), 30.0, 32.0),
-        (1, Some(0.0), 1.0, 3.0),
+        (1, Some(10.0), 10.0, 11.0),
+        (1, Some(900.0), 30.0, 31.0),
+        (1, Some(0.0), 1.0, 2.0),
     ] {
         let waits: Vec<f64> = (0..200)
             .map(|_| backoff(failures, after, &mut rng))
@@ -90,6 +90,9 @@
         room.end(Ended::Answered(0.02), f64::from(n) * 0.01);
     }
     assert_eq!(room.limit(), 64);
+    room.begin();
+    room.end(Ended::Broken, 50.0);
+    assert_eq!(room.limit(), 64, "a broken connection is no sign of load");
     assert!(start < 64 && room.p95().is_some_and(|s| s < 0.03));
     // Failures of one second count once; a queue counts like a refusal.
     for (ended, limit) in [(Ended::Overloaded, 44), (Ended::Answered(2.0), 31)] {
--- a/crates/client/tests/support/mod.rs
+++ b/crates/client/tests/support/mod.rs
@@ -138,7 +138,7 @@
                 inner.requests.push(about);
                 fate
             };
-            let none = |why: &str| Err(NoAnswer(why.into()));
+            let none = |why: &str| Err(NoAnswer::Broken(why.into()));
             tokio::time::sleep(Duration::from_millis(5)).await;
             match fate {
                 Fate::Arrives => Ok(self.carry_out(&request, false)),
@@ -158,7 +158,7 @@
                 }
                 Fate::Hangs => {
                     tokio::time::sleep(timeout).await;
-                    none("no answer in time")
+                    Err(NoAnswer::TimedOut)
                 }
                 Fate::Refused(status, after) => Ok(Answer {
                     status,
@@ -169,7 +169,7 @@
                     let slow = Duration::from_millis(ms);
                     if slow >= timeout {
                         tokio::time::sleep(timeout).await;
-                        return none("no answer in time");
+                        return Err(NoAnswer::TimedOut);
                     }
                     tokio::time::sleep(slow).await;
                     Ok(self.carry_out(&request, false))
--- a/crates/world/examples/against_naive.rs
+++ b/crates/world/examples/against_naive.rs
@@ -46,7 +46,7 @@
         let (client, http, front) = (client.clone(), http.clone(), front.clone());
         let (next, site) = (next.clone(), site.clone());
         callers.push(tokio::spawn(async move {
-            let mut rng = StdRng::seed_from_u64(c as u64);
+            let mut rng = StdRng::seed_from_u64(c as u64 + 100 * caller as u64);
             let mut times = Vec::new();
             loop {
                 let n = next.fetch_add(1, Ordering::Relaxed);
