--- a/crates/client/src/engine.rs
+++ b/crates/client/src/engine.rs
@@ -1,14 +1,14 @@
 //! Drives the schedule: takes what is due, asks, writes what was learnt, and only
 //! then tells whoever waits.
 
-use crate::agenda::{poll_in, Agenda, Step};
+use crate::agenda::{Agenda, Step};
 use crate::fronts::Fronts;
 use crate::job::JobId;
 use crate::measure;
-use crate::outbox::writer::Writer;
+use crate::outbox::writer::{Pending, Writer};
 use crate::outbox::{Outbox, OutboxError};
-use crate::pace::{backoff, Ended, InFlight, Rate, RetryBudget};
-use crate::record::{Meaning, Phase, Record};
+use crate::pace::{Ended, InFlight, Rate, RetryBudget};
+use crate::record::{Phase, Record};
 use crate::settings::Settings;
 use crate::transport::{Answer, NoAnswer, Request, Transport};
 use crate::verdict::{judge, Verdict};
@@ -31,33 +31,33 @@
 }
 
 /// A job with an answer open.
-struct Open {
+pub(crate) struct Open {
     /// With all that was learnt, also what is still being written.
-    record: Record,
-    fresh: bool,
-    told: watch::Sender<News>,
+    pub(crate) record: Record,
+    pub(crate) fresh: bool,
+    pub(crate) told: watch::Sender<News>,
     /// Attempts of the present step, failed ones in a row, all ever.
-    tries: u32,
-    failures: u32,
-    accepted_at: f64,
-    expected_s: f64,
+    pub(crate) tries: u32,
+    pub(crate) failures: u32,
+    pub(crate) accepted_at: f64,
+    pub(crate) expected_s: f64,
     /// It has a slot for its next poll, which it waited for.
-    slot: bool,
+    pub(crate) slot: bool,
     /// What was learnt could not be written yet.
-    unwritten: bool,
+    pub(crate) unwritten: bool,
     /// An attempt is under way: its end decides the next step.
-    busy: bool,
+    pub(crate) busy: bool,
 }
 
-struct State {
-    open: HashMap<JobId, Open>,
-    agenda: Agenda,
-    fronts: Fronts,
-    in_flight: InFlight,
-    retries: RetryBudget,
-    polls: Rate,
-    rng: StdRng,
-    closed: bool,
+pub(crate) struct State {
+    pub(crate) open: HashMap<JobId, Open>,
+    pub(crate) agenda: Agenda,
+    pub(crate) fronts: Fronts,
+    pub(crate) in_flight: InFlight,
+    pub(crate) retries: RetryBudget,
+    pub(crate) polls: Rate,
+    pub(crate) rng: StdRng,
+    pub(crate) closed: bool,
 }
 
 pub(crate) struct Engine {
@@ -67,7 +67,7 @@
     pub writer: Writer,
     state: Mutex<State>,
     /// Something is due sooner, or there is room again.
-    wake: Notify,
+    pub(crate) wake: Notify,
     start: Instant,
 }
 
@@ -118,11 +118,11 @@
         Ok(engine)
     }
 
-    fn now(&self) -> f64 {
+    pub(crate) fn now(&self) -> f64 {
         self.start.elapsed().as_secs_f64()
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 
@@ -146,7 +146,7 @@
             record: record.clone(),
             fresh: false,
         };
-        let mut open = Open {
+        let open = Open {
             record,
             fresh: false,
             told: watch::Sender::new(news),
@@ -158,7 +158,7 @@
             unwritten: false,
             busy: false,
         };
-        let step = next_step(&mut open);
+        let step = next_step(&open);
         state.open.insert(id, open);
         state.agenda.put(id, step, now);
         drop(state);
@@ -281,12 +281,7 @@
     }
 
     /// The request of this step, or the write that must come before it.
-    #[allow(clippy::type_complexity)]
-    fn prepare(
-        &self,
-        id: JobId,
-        step: Step,
-    ) -> Option<(Request, Option<crate::outbox::writer::Pending>)> {
+    fn prepare(&self, id: JobId, step: Step) -> Option<(Request, Option<Pending>)> {
         let mut state = self.lock();
         let open = state.open.get_mut(&id)?;
         open.busy = true;
@@ -377,108 +372,6 @@
         }
         state.fronts.choose(Some(but), now, &mut state.rng)
     }
-
-    /// Takes in what an attempt told: on the disk first, then to who waits.
-    async fn learn(&self, id: JobId, step: Step, verdict: Verdict) {
-        let now = self.now();
-        let pending = {
-            let mut guard = self.lock();
-            let state = &mut *guard;
-            let Some(open) = state.open.get_mut(&id) else {
-                return;
-            };
-            let heard = match verdict {
-                Verdict::Heard(heard) => heard,
-                Verdict::Again { retry_after, .. } => {
-                    open.failures += 1;
-                    open.busy = false;
-                    let wait = backoff(open.failures, retry_after, &mut state.rng);
-                    // A cancellation asked for meanwhile comes first.
-                    let step = match open.record.cancel {
-                        true if step == Step::Poll => Step::Cancel,
-                        _ => step,
-                    };
-                    state.agenda.put(id, step, now + wait);
-                    return;
-                }
-            };
-            if open.failures > 0 {
-                state.retries.answered();
-            }
-            open.failures = 0;
-            open.tries = 0;
-            let before = open.record.phase.clone();
-            let meaning = open.record.hear(&heard, wall_ms());
-            if let Meaning::Contradiction(what) = meaning {
-                tracing::error!(job = %id, ?heard, what, "contradiction: what was told stays");
-            }
-            if before == Phase::Waiting && open.record.phase != Phase::Waiting {
-                open.fresh = heard == crate::record::Heard::Created;
-                open.accepted_at = now;
-            }
-            // Whether it is pending or runs is for display, and not written.
-            let kept = |p: &Phase| !matches!(p, Phase::Accepted(_));
-            let worth = meaning == Meaning::News && (kept(&before) || kept(&open.record.phase));
-            if !worth {
-                open.publish();
-                open.busy = false;
-                let mut step = next_step(open);
-                let mut wait = match step {
-                    Step::Submit | Step::Cancel => 0.0,
-                    Step::Poll => poll_in(open.expected_s, now - open.accepted_at),
-                };
-                if heard == crate::record::Heard::NotFound {
-                    // Not there yet: what was sent may still come. A cancelled
-                    // one is submitted, so that it can be cancelled for good.
-                    if open.record.phase == Phase::Waiting {
-                        step = Step::Submit;
-                    }
-                    wait = backoff(1, None, &mut state.rng);
-                }
-                state.agenda.put(id, step, now + wait);
-                drop(guard);
-                self.wake.notify_one();
-                return;
-            }
-            self.writer.begin_update(open.record.clone())
-        };
-        let done = pending.wait().await;
-        self.settle(id, done);
-    }
-
-    /// What was learnt is on the disk, or could not be written: then it is not
-    /// told, and written before anything else is asked.
-    fn settle(&self, id: JobId, done: Result<(), OutboxError>) {
-        let now = self.now();
-        let mut guard = self.lock();
-        let state = &mut *guard;
-        let Some(open) = state.open.get_mut(&id) else {
-            return;
-        };
-        open.busy = false;
-        open.unwritten = done.is_err();
-        let step = next_step(open);
-        if let Err(error) = done {
-            tracing::error!(job = %id, %error, "not written");
-            open.failures += 1;
-            let wait = backoff(open.failures, None, &mut state.rng);
-            state.agenda.put(id, step, now + wait);
-        } else {
-            open.publish();
-            if open.record.closed() {
-                state.open.remove(&id);
-                state.agenda.remove(id);
-            } else {
-                let wait = match step {
-                    Step::Submit | Step::Cancel => 0.0,
-                    Step::Poll => poll_in(open.expected_s, now - open.accepted_at),
-                };
-                state.agenda.put(id, step, now + wait);
-            }
-        }
-        drop(guard);
-        self.wake.notify_one();
-    }
 }
 
 impl State {
@@ -514,7 +407,7 @@
 const MOST_WITHHELD_S: f64 = 5.0;
 
 impl Open {
-    fn publish(&self) {
+    pub(crate) fn publish(&self) {
         let news = News {
             record: self.record.clone(),
             fresh: self.fresh,
@@ -528,7 +421,7 @@
 }
 
 /// What to do next about a job.
-fn next_step(open: &mut Open) -> Step {
+pub(crate) fn next_step(open: &Open) -> Step {
     match (&open.record.phase, open.record.cancel) {
         // A lost answer may hide that it was accepted: cancelling is soonest.
         (_, true) => Step::Cancel,
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -39,6 +39,7 @@
 mod engine;
 pub mod fronts;
 mod job;
+mod learn;
 mod measure;
 pub mod outbox;
 pub mod pace;
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -1,9 +1,10 @@
 //! Everything together: stand-ins, real controllers, faults on a schedule.
 
 use crate::balancer::{self, Trouble};
+use crate::cloud::{self, CameTo};
 use crate::controllers::{Controller, Place};
 use crate::history::{Event, History};
-use crate::machines::{self, CameTo, Machines};
+use crate::machines::Machines;
 use crate::site::Site;
 use crate::state::{self, StateService};
 use actix_web::{web, App, HttpServer};
@@ -117,7 +118,7 @@
             });
         }
         let state = StateService::new(site.state.rps, site.state.write_rps);
-        let (cloud, mut places) = (free()?, Vec::new());
+        let (rental, mut places) = (free()?, Vec::new());
         for n in 0..site.controllers {
             let listener = free()?;
             // Their ports are found free and given up again for them.
@@ -142,12 +143,12 @@
             .iter()
             .map(|p| (p.name.clone(), format!("http://{}", p.front)));
         let machines = Machines::new(site.clone(), history.clone(), fronts.collect(), addrs);
-        let cloud_addr = cloud.local_addr()?;
-        serve!(machines.clone(), machines::cloud_routes, [cloud]);
-        serve!(machines.clone(), machines::worker_routes, listeners);
+        let cloud_addr = rental.local_addr()?;
+        serve!(machines.clone(), cloud::cloud_routes, [rental]);
+        serve!(machines.clone(), cloud::worker_routes, listeners);
         let control = free()?;
         let control_addr = control.local_addr()?;
-        serve!(machines.clone(), machines::control_routes, [control]);
+        serve!(machines.clone(), cloud::control_routes, [control]);
         let mut controllers = Vec::new();
         for n in 0..places.len() {
             let mut controller = Controller::new(program, dir, &site, &places, n, cloud_addr)?;
