A silent quarter of the fleet no longer halts a takeover for a lease

After a takeover eight of 40 machines stayed silent, more than an eighth, so they were taken for a cut and waited for: nothing was placed for 31.5 s. Change: while nothing may be placed, up to a quarter that did not answer for a quarter of a lease is returned, unless it is most of a zone.

--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -623,27 +623,42 @@
         let few = recorded.clone().count() / 64;
         let left = self.unaccounted().unwrap_or(usize::MAX);
         let unanswered_s = self.params.lease_s / if left <= few { 40.0 } else { 10.0 };
-        let silent: Vec<String> = recorded
-            .clone()
-            .filter(|m| {
-                m.standing != Standing::Expired
-                    && if m.fenced {
-                        self.silence(m.heard, now) > silent_s
-                    } else {
-                        // From when we know of it: one that just came up has
-                        // not had the time to see our term.
-                        self.silence(m.session_at, now) > unknown_s
-                            || (m.probed_at).is_some_and(|t| self.silence(t, now) > unanswered_s)
-                    }
-            })
-            .map(|m| m.info.id.clone())
-            .collect();
-        // An eighth of the fleet at most.
-        if silent.len() <= (recorded.count() / 8).max(1) {
-            silent
-        } else {
-            Vec::new()
+        let unanswered = |m: &Machine, s: f64| {
+            (m.probed_at).is_some_and(|t| !m.fenced && self.silence(t, now) > s)
+        };
+        let silent = |m: &&Machine| {
+            m.standing != Standing::Expired
+                && if m.fenced {
+                    self.silence(m.heard, now) > silent_s
+                } else {
+                    // From when we know of it: one that just came up has not
+                    // had the time to see our term.
+                    self.silence(m.session_at, now) > unknown_s || unanswered(m, unanswered_s)
+                }
+        };
+        let all = recorded.clone().count();
+        let mut found: Vec<&Machine> = recorded.filter(silent).collect();
+        // An eighth of the fleet at most. While nothing may be placed the whole
+        // share waits for them: a lease of waiting is more than a quarter of the
+        // fleet is worth, which is up again after a boot. But not where they are
+        // most of a zone, and only after a quarter of a lease without an answer,
+        // for a busy owner hears from the last ones late.
+        if found.len() > (all / 8).max(1) {
+            if self.fence.open || found.len() > all / 4 || self.mostly_one_zone(&found) {
+                return Vec::new();
+            }
+            found.retain(|m| unanswered(m, self.params.lease_s / 4.0));
         }
+        found.iter().map(|m| m.info.id.clone()).collect()
+    }
+
+    /// Whether these are most of the machines of any zone.
+    fn mostly_one_zone(&self, some: &[&Machine]) -> bool {
+        some.iter().any(|m| {
+            let zone = |o: &&Machine| o.recorded && o.info.zone == m.info.zone;
+            let here = some.iter().filter(|o| o.info.zone == m.info.zone).count();
+            2 * here > self.machines.values().filter(zone).count()
+        })
     }
 
     /// Zones most of whose machines fell silent together: cut off, most likely.
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -434,6 +434,49 @@
     }
 }
 
+/// Guards against a share that stands still for a lease after a takeover since
+/// more than an eighth of its machines died (an incident of a fleet site), and
+/// against returning a zone that is cut off.
+#[test]
+fn while_nothing_is_placed_a_silent_quarter_is_given_up_later() {
+    // Silent ones of 16, how many of them in a zone of five, given up after the
+    // short patience (a tenth of a lease) and after a quarter of a lease.
+    for (silent, zone_b, early, late) in [
+        (2, 0, 2, 2),
+        (4, 0, 0, 4),
+        (4, 2, 0, 4),
+        (4, 3, 0, 0),
+        (5, 0, 0, 0),
+    ] {
+        let mut core = core(free(), 5, &[]);
+        for i in 0..16 {
+            let zone = if i < zone_b || i >= 11 + zone_b {
+                "b"
+            } else {
+                "a"
+            };
+            core.inherit(machine(&format!("m{i}"), zone, false), 0.0);
+        }
+        for i in silent..16 {
+            orders(&mut core, &report(&format!("m{i}"), 1, 1, 5, &[]), 0.5);
+        }
+        core.probes(1.0, 64);
+        core.probes(1.2, 64);
+        for i in 0..silent {
+            core.direct_call(&format!("m{i}").as_str().into(), 1.2)
+                .expect("a probe");
+        }
+        for (now, given_up) in [(2.3, early), (3.0, early), (3.8, late)] {
+            core.tick(now, 0.0);
+            let found = core.given_up(now).len();
+            assert_eq!(found, given_up, "{silent} silent, {zone_b} in b, at {now}");
+        }
+        // Once placing has begun they are waited for.
+        core.fence.open = true;
+        assert!(core.given_up(3.8).len() <= 2);
+    }
+}
+
 /// Guards against giving up a session that a direct call's answer told of: its
 /// lease runs from its beginning, not from our last answer to the one before
 /// (found by the simulation).
