--- a/crates/client/tests/client.rs
+++ b/crates/client/tests/client.rs
@@ -338,3 +338,23 @@
     let allowed = inner.requests.len() / 5 + 10 + 25;
     assert!(count > 3 && count <= allowed, "{count} of {}", polls.len());
 }
+
+/// The time of day jumps by years in either direction between two starts: what was
+/// queued is submitted and followed at the same pace, and nothing is forgotten.
+#[tokio::test(start_paused = true)]
+async fn a_clock_that_jumps_changes_no_wait() {
+    let mut requests = Vec::new();
+    for queued_ms in [0, 4_000_000_000_000] {
+        let cluster = Cluster::new(|_, _, _| Fate::Arrives);
+        let mut outbox = memory();
+        let queued = outbox.enqueue(&[work("a", "t")], queued_ms).unwrap();
+        let id = queued[0].as_ref().unwrap().record().id;
+        // Open jobs have no age, whatever the clock says.
+        assert_eq!(outbox.compact(u64::MAX), Ok(0));
+        let client = client(&cluster, 1, outbox);
+        let told = client.outcome(id, secs(60)).await;
+        assert_eq!(told, Ok(Told::Final(Outcome::Done)), "{queued_ms}");
+        requests.push(cluster.requests());
+    }
+    assert_eq!(requests[0], requests[1]);
+}
