Client: the driver is woken when an attempt told nothing; busy from when it is taken

After an attempt without an answer the job went back on the schedule without waking the driver, which on a runtime of several threads may have looked just before and slept on with nothing else due; and a wish to cancel could start a second attempt between the taking of a job and its request. Result: the client's tests pass; the race itself has no test, for it needs two threads to meet.

--- a/crates/client/src/engine.rs
+++ b/crates/client/src/engine.rs
@@ -221,8 +221,18 @@
                     state.in_flight.cancel();
                     break;
                 };
+                if !state.open.contains_key(&id) {
+                    state.in_flight.cancel();
+                    continue;
+                }
                 match state.admit(id, step, now) {
-                    Ok(front) => begun.push((id, step, front)),
+                    Ok(front) => {
+                        // From here on: a wish to cancel waits for its end.
+                        if let Some(open) = state.open.get_mut(&id) {
+                            open.busy = true;
+                        }
+                        begun.push((id, step, front));
+                    }
                     Err(wait) => {
                         state.in_flight.cancel();
                         measure::withheld(step);
@@ -284,7 +294,6 @@
     fn prepare(&self, id: JobId, step: Step) -> Option<(Request, Option<Pending>)> {
         let mut state = self.lock();
         let open = state.open.get_mut(&id)?;
-        open.busy = true;
         open.tries += 1;
         let request = match step {
             Step::Submit => Request {
--- a/crates/client/src/learn.rs
+++ b/crates/client/src/learn.rs
@@ -31,6 +31,10 @@
                         _ => step,
                     };
                     state.agenda.put(id, step, now + wait);
+                    drop(guard);
+                    // The driver may have looked between the end of the request
+                    // and this, on another thread, and found nothing to wait for.
+                    self.wake.notify_one();
                     return;
                 }
             };
--- a/crates/client/src/outbox/backend.rs
+++ b/crates/client/src/outbox/backend.rs
@@ -59,11 +59,6 @@
     }
 
     /// Where was last read.
-    pub fn last_read(&self) -> u64 {
-        self.lock().last_read
-    }
-
-    /// The same, for who has no use for the storage itself.
     pub fn place(&self) -> Place {
         Place(self.held.clone())
     }
--- a/crates/client/src/outbox/mod.rs
+++ b/crates/client/src/outbox/mod.rs
@@ -95,9 +95,9 @@
             return Err(OutboxError::Foreign { offset });
         }
         let guarded = Guarded::new(inner).map_err(|e| Outbox::io(&e))?;
-        let at = guarded.clone();
+        let at = guarded.place();
         let damaged = |what: String| OutboxError::Damaged {
-            offset: at.last_read(),
+            offset: at.get(),
             what,
         };
         let opened = |e: DatabaseError| match &e {
