A machine list written without an answer is written again; what stands is in use

Change: a chunk with an unanswered write is written again whatever it holds, which also voids the late one; with nothing left to write, all that stands in the record is in use.

--- a/src/coordination/member/record.rs
+++ b/src/coordination/member/record.rs
@@ -3,7 +3,7 @@
 
 use super::claim::reread;
 use crate::coordination::node::Node;
-use crate::storage::chunks::{self, Written};
+use crate::storage::chunks;
 use crate::storage::records;
 use crate::transport::clients::{Failure, Lane};
 use std::rc::Rc;
@@ -30,6 +30,12 @@
         (txn, core.fence.base_term, changes, core.record_dirty)
     };
     if changes.is_empty() {
+        // All that is wanted stands there already: a machine whose session ended
+        // and began again before that was written, say.
+        let stands: Vec<_> = node.written.borrow().machines().cloned().collect();
+        if let Some(core) = node.core.borrow_mut().as_mut() {
+            core.record_written(&stands);
+        }
         return false;
     }
     let result = node.state.txn(&txn, Lane::Control).await;
@@ -52,6 +58,10 @@
             if let Some(core) = node.core.borrow_mut().as_mut().filter(ours) {
                 core.record_dirty = true;
             }
+            if !matches!(error, Failure::Conflict(_)) {
+                let mut written = node.written.borrow_mut();
+                changes.iter().for_each(|(at, _)| written.unsure(*at));
+            }
             if let Failure::Conflict(keys) = error {
                 reread(node).await;
                 // One that we gave up was carried out after all.
@@ -72,6 +82,6 @@
     };
     let ours = |c: &crate::coordination::core::Core| c.fence.base_term == term;
     if node.core.borrow().as_ref().is_some_and(ours) {
-        *node.written.borrow_mut() = Written::read(&listed);
+        node.written.borrow_mut().reread(&listed);
     }
 }
--- a/src/storage/chunks.rs
+++ b/src/storage/chunks.rs
@@ -3,11 +3,12 @@
 
 use super::records::{self, MachineChunk, MachineInfo};
 use crate::protocol::state::{Entry, Txn};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
-/// The record as it stands: each chunk with its version, as far as we know.
+/// The record as it stands: each chunk with its version, as far as we know, and
+/// which of them a write without an answer may still change.
 #[derive(Debug, Default)]
-pub struct Written(Vec<(Vec<MachineInfo>, u64)>);
+pub struct Written(Vec<(Vec<MachineInfo>, u64)>, BTreeSet<usize>);
 
 impl Written {
     /// Reads it from a listing; what is not in it does not exist.
@@ -22,12 +23,24 @@
         written
     }
 
+    /// A write of this chunk had no answer: it may be carried out at any time. It
+    /// is written again whatever it holds, so that its version voids that one.
+    pub fn unsure(&mut self, at: usize) {
+        self.1.insert(at);
+    }
+
+    /// Takes over what was read anew; what is unsure stays so.
+    pub fn reread(&mut self, listed: &[Entry]) {
+        self.0 = Written::read(listed).0;
+    }
+
     /// The chunk holds these machines since this version.
     pub fn set(&mut self, at: usize, machines: Vec<MachineInfo>, version: u64) {
         if self.0.len() <= at {
             self.0.resize_with(at + 1, Default::default);
         }
         self.0[at] = (machines, version);
+        self.1.remove(&at);
     }
 
     /// All machines.
@@ -67,7 +80,7 @@
 /// Chunks to write so that they hold just the `wanted` machines, none above
 /// `most_bytes`. A machine stays in its chunk, so a change touches few.
 pub fn plan(written: &Written, wanted: &[&MachineInfo], most_bytes: usize) -> Vec<Change> {
-    let written = &written.0;
+    let Written(written, unsure) = written;
     let mut missing: HashMap<&str, &MachineInfo> =
         wanted.iter().map(|m| (m.id.as_str(), *m)).collect();
     let mut chunks: Vec<Vec<&MachineInfo>> = Vec::with_capacity(written.len());
@@ -99,9 +112,10 @@
         .into_iter()
         .enumerate()
         .filter(|(i, c)| {
-            written
-                .get(*i)
-                .is_none_or(|(w, _)| !w.iter().eq(c.iter().copied()))
+            unsure.contains(i)
+                || written
+                    .get(*i)
+                    .is_none_or(|(w, _)| !w.iter().eq(c.iter().copied()))
         })
         .map(|(i, c)| (i, c.into_iter().cloned().collect()))
         .collect()
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -49,6 +49,14 @@
         "{n} {bytes}"
     );
     assert!(plan(&written, &refs(&fleet), 14_000).is_empty());
+    // A write without an answer may still change its chunk: it is written again,
+    // so that nothing is started on a machine that the late one takes off the
+    // list, and those that it added come into use.
+    written.unsure(2);
+    let again = plan(&written, &refs(&fleet), 14_000);
+    assert_eq!(again.iter().map(|c| c.0).collect::<Vec<_>>(), [2]);
+    written.set(2, again[0].1.clone(), 7);
+    assert!(plan(&written, &refs(&fleet), 14_000).is_empty());
     // One goes, one comes, one moves: the chunks of these alone.
     let mut wanted = fleet.clone();
     wanted.remove(700);
