Operators' API and drains: records first, carried out by whoever owns the share

Change: crates/wire admin types; src/admin on an address of its own, off unless the operators' settings name one; a drain is a record conditional on the share's, watched by all and read at a takeover; work finishes, moves by least loss or stays by one pure rule; drained only by proof, and recorded. The overview is a rendering of the same data.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! default that hides a missing field: where the protocol lets a field be null
 //! it may be missing too, and is an `Option` here.
 
+pub mod admin;
 pub mod cloud;
 pub mod job;
 pub mod state;
--- a/src/app.rs
+++ b/src/app.rs
@@ -74,6 +74,7 @@
 }
 
 async fn submit(node: Shared, payload: web::Payload) -> HttpResponse {
+    let began = node.now();
     let body = match read_body(payload).await {
         Ok(body) => body,
         Err(refusal) => return refusal,
@@ -123,6 +124,7 @@
             tracing::info!(job = %id, class = %record.spec.class, tasks = record.spec.tasks, estimate_s = record.spec.estimate_s, "accepted");
             {
                 let now = node.now();
+                node.accepted_in(now - began);
                 if let Some(core) = node.core.borrow_mut().as_mut() {
                     core.job_added(record, version, Marks::default());
                     core.place_news(now);
@@ -360,6 +362,10 @@
             None => Answer::NotMine,
         },
         (Ask::Overview, Some(core)) => Answer::Overview(core.overview(node.now())),
+        (Ask::Admin(topic), Some(core)) => match crate::admin::of_core(core, topic, node.now()) {
+            Some(text) => Answer::Admin(core.term, text),
+            None => Answer::NotMine,
+        },
         (Ask::Vouch(term), _) if node.tenure.borrow().vouches_for(term) => Answer::Agreed,
         (Ask::Promise(_), _) => Answer::Agreed,
         (Ask::TurnedAway, _) => {
@@ -392,6 +398,9 @@
         .app_data(PayloadConfig::new(MAX_BODY))
         .route("/mesh", web::post().to(mesh_call));
     listen::serve(inner, node.settings.mesh_addr, sockets / 8).await?;
+    if let Some(addr) = node.policy.admin {
+        actix_rt::spawn(crate::admin::run(node.clone(), addr));
+    }
     Member { node: node.clone() }.start();
     Ledger { node: node.clone() }.start();
     Fleet { node: node.clone() }.start();
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -1,19 +1,19 @@
 //! The owner's view of its share: jobs, machines and what is wanted of them.
 
+use super::drains::Wish;
 use super::fence::Fence;
 use super::job::{ByName, Job, Name, Names, TaskId};
+use super::learn::Learned;
 use super::machine::{Active, Machine, Standing};
 use super::order::Order;
 use super::quota::Usage;
 use super::room::{Index, Room};
 use crate::protocol::cloud::MachineType;
-use crate::protocol::job::Shape;
 use crate::protocol::policy::Policy;
 use crate::protocol::settings::{Objective, Settings, Team};
 use crate::storage::marks::Marks;
 use crate::storage::records::{LiveJob, MachineInfo};
 use foldhash::fast::RandomState;
-use hdrhistogram::Histogram;
 use indexmap::IndexSet;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -109,7 +109,10 @@
     /// When queues were last searched for aged tasks.
     pub(super) aged_at: f64,
     pub(super) attempts: u64,
-    pub(super) run_ms: HashMap<String, Histogram<u32>>,
+    /// What finished tasks taught.
+    pub learned: Learned,
+    /// Machines that operators set aside (see `drains`).
+    pub(super) wishes: ByName<Wish>,
     pub(super) rng: SmallRng,
 }
 
@@ -143,7 +146,8 @@
             order: Order::default(),
             aged_at: f64::NEG_INFINITY,
             attempts: 0,
-            run_ms: HashMap::new(),
+            learned: Learned::default(),
+            wishes: ByName::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -187,10 +191,19 @@
     /// A machine of the record we took over.
     pub fn inherit(&mut self, info: MachineInfo, now: f64) {
         let name = super::machine::name(&info);
-        self.awaited.insert(name.clone());
-        self.machines
-            .entry(name)
-            .or_insert_with(|| Machine::new(info, true, now));
+        let held = self.wishes.contains_key(&name);
+        // One that was proven empty and set aside since holds up nobody: as long
+        // as that record stands no owner starts anything on it, and who learns
+        // that it is gone knows by then whether the share is still its own.
+        let proven = self.proven_aside(&name);
+        if !proven {
+            self.awaited.insert(name.clone());
+        }
+        self.machines.entry(name).or_insert_with(|| Machine {
+            held,
+            proven,
+            ..Machine::new(info, true, now)
+        });
     }
 
     /// A live job, from its record or freshly accepted.
@@ -423,47 +436,6 @@
         }
     }
 
-    /// Prediction for a task: the job's estimate, or the recent median of its
-    /// class, or of all, or else a lease.
-    pub fn predict(&self, job: &Job) -> f64 {
-        if job.spec.estimate_s > 0.0 || job.spec.shape == Shape::Service {
-            return job.spec.estimate_s;
-        }
-        let median = |class: &str| {
-            self.run_ms
-                .get(class)
-                .filter(|h| !h.is_empty())
-                .map(|h| h.value_at_quantile(0.5) as f64 / 1000.0)
-        };
-        median(&job.spec.class)
-            .or_else(|| median(""))
-            .unwrap_or(self.params.lease_s)
-    }
-
-    /// Remembers how long a task ran.
-    pub(super) fn ran(&mut self, class: &str, run_s: f64) {
-        // "" stands for all classes; classes come from users, so they are bounded.
-        for class in [class, ""] {
-            if self.run_ms.len() >= 256 && !self.run_ms.contains_key(class) {
-                continue;
-            }
-            if !self.run_ms.contains_key(class) {
-                let Ok(fresh) = Histogram::new_with_bounds(1, 86_400_000, 2) else {
-                    continue;
-                };
-                self.run_ms.insert(class.to_string(), fresh);
-            }
-            let Some(histogram) = self.run_ms.get_mut(class) else {
-                continue;
-            };
-            // "Recent": old runs fade once there are many.
-            if histogram.len() > 500 {
-                histogram.reset();
-            }
-            histogram.saturating_record((run_s * 1000.0).max(1.0) as u64);
-        }
-    }
-
     /// An attempt does not run any more.
     pub(super) fn not_running(&mut self, key: &(TaskId, u64), active: &mut Active) {
         if std::mem::take(&mut active.counted) {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -146,7 +146,9 @@
                     // Past its lease nothing is lost by waiting a while for a
                     // cut to end; after twice a boot a new one would be up,
                     // but not where the whole zone is cut off.
+                    // Nor where an operator switched it off.
                     m.standing == Standing::Expired
+                        && !m.held
                         && now - m.heard > 2.0 * lease + boot_s
                         && !cut.contains(&m.info.zone)
                 })
@@ -232,7 +234,7 @@
     let have: f64 = core
         .machines
         .values()
-        .filter(|m| m.standing == Standing::Up)
+        .filter(|m| m.standing == Standing::Up && !m.held)
         .filter_map(|m| core.types.get(&m.info.kind))
         .map(|t| t.cpus)
         .sum();
@@ -242,7 +244,8 @@
     let idle = core
         .machines
         .iter()
-        .filter(|(_, m)| m.standing == Standing::Up && m.active.is_empty() && m.queue.is_empty())
+        .filter(|(_, m)| m.standing == Standing::Up && !m.held)
+        .filter(|(_, m)| m.active.is_empty() && m.queue.is_empty())
         .find(|(_, m)| {
             let boot_s = core.types.get(&m.info.kind).map_or(60.0, |t| t.boot_s);
             now - m.idle_since > node.policy.idle_boots * boot_s
@@ -284,7 +287,7 @@
         demand.have_cpus = core
             .machines
             .values()
-            .filter(|m| m.standing == Standing::Up)
+            .filter(|m| m.standing == Standing::Up && !m.held)
             .map(|m| &m.info)
             .chain(books.booting.values().map(|b| &b.0))
             .filter(|info| !cut.contains(&info.zone))
--- a/src/coordination/job.rs
+++ b/src/coordination/job.rs
@@ -68,6 +68,8 @@
     next: u32,
     /// Tasks to be run (again) below `next`.
     back: BTreeSet<u32>,
+    /// A task of it was seen running.
+    begun: bool,
     /// How many tasks are known to run, for display.
     pub running: u32,
     /// Where each task is that may be on a machine, with its attempt.
@@ -106,6 +108,7 @@
             over: false,
             next: 0,
             back: BTreeSet::new(),
+            begun: false,
             running: 0,
             on: BTreeMap::new(),
             copies: Vec::new(),
@@ -130,6 +133,11 @@
         }
     }
 
+    /// A task runs; whether it is the first one of the job.
+    pub fn begin(&mut self) -> bool {
+        !std::mem::replace(&mut self.begun, true) && self.done.is_empty()
+    }
+
     /// The task is done.
     pub fn set_done(&mut self, task: u32) {
         self.touch(task);
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -95,6 +95,11 @@
     /// It stands in the share's written record, so tasks may start on it.
     pub recorded: bool,
     pub standing: Standing,
+    /// Set aside by an operator: nothing new starts on it (see `drains`).
+    pub held: bool,
+    /// It was set aside and recorded as empty before we took over, so that it
+    /// holds up nobody.
+    pub proven: bool,
     /// Newest message seen: session and sequence number.
     pub seen: (u64, u64),
     /// Highest term the machine is known to have seen.
@@ -141,6 +146,8 @@
             info,
             recorded,
             standing: Standing::Up,
+            held: false,
+            proven: false,
             seen: (0, 0),
             token: 0,
             fenced: false,
@@ -188,7 +195,7 @@
     /// Whether it holds up placing after a takeover.
     pub fn holds_up(&self) -> bool {
         let unknown = self.recorded && !self.fenced && self.standing != Standing::Expired;
-        unknown || self.strangers > 0
+        unknown && !self.proven || self.strangers > 0
     }
 
     /// Whether tasks may start on it, if it was heard of less than `silent_s`
@@ -197,6 +204,7 @@
         self.recorded
             && self.fenced
             && self.standing == Standing::Up
+            && !self.held
             && self.strangers == 0
             && self.notice_at.is_none()
             && now - self.heard < silent_s
--- a/src/coordination/member/claim.rs
+++ b/src/coordination/member/claim.rs
@@ -77,6 +77,11 @@
     if let Some(types) = &node.tenure.borrow().view.types {
         core.set_types(types);
     }
+    // Read after the share was taken, so that no drain ordered under the owner
+    // before us is missed: its machines must get nothing new.
+    let (drains, seen) = node.state.list(records::DRAINS, Lane::Control).await?;
+    node.tenure.borrow_mut().view.take_drains(&drains, seen);
+    core.set_drains(&node.tenure.borrow().view.drains);
     let (listed, _) = node.state.list(records::MACHINES, Lane::Control).await?;
     let now = node.now();
     let written = Written::read(&listed);
--- a/src/coordination/member/mind.rs
+++ b/src/coordination/member/mind.rs
@@ -7,6 +7,8 @@
 use super::tenure::Tenure;
 use crate::coordination::node::Node;
 use crate::protocol::mesh::{Answer, Ask};
+use crate::protocol::state::Txn;
+use crate::storage::records;
 use crate::transport::clients::{Failure, Lane};
 use std::rc::Rc;
 
@@ -25,6 +27,8 @@
         seek_vouches(&node);
         seek_promises(&node);
         learn_quiet(&node);
+        take_drains(&node);
+        note_drained(&node).await;
         while write_machines(&node).await {}
         raise_term(&node).await;
     }
@@ -102,6 +106,56 @@
     }
 }
 
+/// Tells the core of drains that came, changed or ended.
+pub fn take_drains(node: &Node) {
+    let tenure = node.tenure.borrow();
+    let mut core = node.core.borrow_mut();
+    let Some(core) = core.as_mut() else {
+        return;
+    };
+    let seen = (core.fence.base_term, tenure.view.drains_seen);
+    if node.drains_taken.replace(seen) != seen {
+        core.set_drains(&tenure.view.drains);
+    }
+}
+
+/// Records which machines are proven empty, as long as the share is ours and the
+/// drain is the one that was carried out.
+async fn note_drained(node: &Rc<Node>) {
+    let most = node.settings.cluster.state.txn_ops;
+    let now_ms = node.wall_ms();
+    let mut proven = match node.core.borrow().as_ref() {
+        Some(core) if node.certain() => core.drains_proven(now_ms, most),
+        _ => return,
+    };
+    {
+        let mut noted = node.noted.borrow_mut();
+        noted.retain(|version| proven.iter().any(|p| p.1 == *version));
+        proven.retain(|p| !noted.contains(&p.1));
+    }
+    let own = node.tenure.borrow().own_version();
+    let (Some(own), false) = (own, proven.is_empty()) else {
+        return;
+    };
+    let mut txn = Txn::default().when(records::SHARE, own);
+    for (drain, version) in &proven {
+        let key = records::drain(&drain.host);
+        txn = txn.when(&key, *version).put(&key, drain);
+    }
+    match node.state.txn(&txn, Lane::Control).await {
+        Ok(_) => {
+            let hosts: Vec<&str> = proven.iter().map(|p| p.0.host.as_str()).collect();
+            tracing::info!(machines = ?hosts, "drained");
+            // What is written is known from the watch alone, in its order; until
+            // it comes the same is not written again.
+            node.noted.borrow_mut().extend(proven.iter().map(|p| p.1));
+        }
+        // Another owner, or the drain ended: the watch tells.
+        Err(Failure::Conflict(_)) => reread(node).await,
+        Err(_) => {}
+    }
+}
+
 /// Writes a higher term when starts in limbo must be ruled out.
 async fn raise_term(node: &Rc<Node>) {
     let now = node.now();
--- a/src/coordination/member/view.rs
+++ b/src/coordination/member/view.rs
@@ -3,6 +3,7 @@
 //! order they were learnt: answers overtake each other, most of all when a
 //! controller stood still for a while.
 
+use crate::protocol::admin::Drain;
 use crate::protocol::cloud::{MachineType, TypeList};
 use crate::protocol::state::Entry;
 use crate::storage::records::{self, Alive, Share, Term};
@@ -18,6 +19,10 @@
     /// Controllers' alive keys: incarnation and version.
     pub alive: HashMap<String, (u64, u64)>,
     pub types: Option<Vec<MachineType>>,
+    /// Machines that operators set aside, each with its record's version.
+    pub drains: HashMap<String, (Drain, u64)>,
+    /// Counts changes of these.
+    pub drains_seen: u64,
 }
 
 impl View {
@@ -45,6 +50,8 @@
             if let Ok(list) = entry.read::<TypeList>() {
                 self.types = Some(list.types);
             }
+        } else if let Some(host) = entry.key.strip_prefix(records::DRAINS) {
+            self.see_drain(host, entry);
         } else if let Some(host) = entry.key.strip_prefix(&records::alive("")) {
             if let Ok(alive) = entry.read::<Alive>() {
                 self.see_alive(host.to_string(), alive.boot, entry.version);
@@ -52,6 +59,21 @@
         }
     }
 
+    /// A drain's record. One that cannot be read sets its machine aside all the
+    /// same: a newer version of us may have written it.
+    fn see_drain(&mut self, host: &str, entry: &Entry) {
+        let known = self.drains.get(host).map_or(0, |(_, v)| *v);
+        if entry.version <= known {
+            return;
+        }
+        let drain = entry.read::<Drain>().unwrap_or_else(|error| {
+            tracing::error!(key = %entry.key, %error, "unreadable drain");
+            super::super::drains::unreadable(host)
+        });
+        self.drains.insert(host.into(), (drain, entry.version));
+        self.drains_seen += 1;
+    }
+
     /// The share record at this version.
     pub fn see_share(&mut self, share: Share, version: u64) {
         let known = self.share.as_ref().map_or(0, |(_, v)| *v);
@@ -64,15 +86,27 @@
     /// then. What is known from later stays.
     pub fn take_list(&mut self, entries: &[Entry], revision: u64) {
         self.alive.retain(|_, (_, version)| *version > revision);
+        self.take_drains(entries, revision);
+        self.loaded = true;
+    }
+
+    /// Takes in all drains as of `revision`; what is known from later stays.
+    pub fn take_drains(&mut self, entries: &[Entry], revision: u64) {
+        self.drains.retain(|_, (_, version)| *version > revision);
+        self.drains_seen += 1;
         for entry in entries {
             self.take_entry(entry);
         }
-        self.loaded = true;
     }
 
     /// A key of the area was deleted.
     pub fn take_deletion(&mut self, key: &str, version: u64) {
-        if let Some(host) = key.strip_prefix(&records::alive("")) {
+        if let Some(host) = key.strip_prefix(records::DRAINS) {
+            if self.drains.get(host).is_some_and(|d| d.1 <= version) {
+                self.drains.remove(host);
+                self.drains_seen += 1;
+            }
+        } else if let Some(host) = key.strip_prefix(&records::alive("")) {
             if self.alive.get(host).is_some_and(|a| a.1 <= version) {
                 self.alive.remove(host);
             }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,10 +4,12 @@
 
 pub mod core;
 pub mod dispatch;
+pub mod drains;
 pub mod fence;
 pub mod fleet;
 pub mod fleet_plan;
 pub mod job;
+pub mod learn;
 pub mod ledger;
 pub mod machine;
 pub mod member;
@@ -21,3 +23,5 @@
 pub mod reach;
 pub mod room;
 pub mod sessions;
+pub mod snapshot;
+pub mod views;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -5,6 +5,7 @@
 use super::member::tenure::{Tenure, Terms};
 use super::reach::Tally;
 use crate::protocol::job::JobSpec;
+use crate::protocol::mesh::Topic;
 use crate::protocol::policy::Policy;
 use crate::protocol::settings::Settings;
 use crate::storage::chunks::Written;
@@ -12,6 +13,7 @@
 use crate::transport::clients::{
     CloudClient, Failure, Lane, MeshClient, StateClient, WorkerClient,
 };
+use hdrhistogram::Histogram;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -79,6 +81,15 @@
     pub written: RefCell<Written>,
     /// Direct calls to workers under way.
     pub calls: Cell<usize>,
+    /// Term and count of the drains that the core was told of.
+    pub drains_taken: Cell<(u64, u64)>,
+    /// Versions of drains that we recorded as carried out and the watch has not
+    /// shown yet.
+    pub noted: RefCell<Vec<u64>>,
+    /// How long submissions took until they were accepted, in milliseconds.
+    pub accept_ms: RefCell<Option<Histogram<u32>>>,
+    /// What operators were told of the owner's share, for when it is away.
+    pub told: RefCell<HashMap<Topic, (f64, u64, String)>>,
     /// Workers' reports that came here while another one was the owner.
     pub turned_away: RefCell<Tally>,
 }
@@ -113,6 +124,10 @@
             finals: RefCell::default(),
             written: RefCell::default(),
             calls: Cell::new(0),
+            drains_taken: Cell::default(),
+            noted: RefCell::default(),
+            accept_ms: RefCell::new(Histogram::new_with_bounds(1, 600_000, 2).ok()),
+            told: RefCell::default(),
             turned_away: RefCell::default(),
         })
     }
@@ -122,6 +137,13 @@
         self.start.elapsed().as_secs_f64()
     }
 
+    /// Remembers how long a submission took until it was accepted.
+    pub fn accepted_in(&self, took_s: f64) {
+        if let Some(histogram) = self.accept_ms.borrow_mut().as_mut() {
+            histogram.saturating_record((took_s * 1000.0).max(1.0) as u64);
+        }
+    }
+
     /// Time of day in milliseconds.
     pub fn wall_ms(&self) -> u64 {
         SystemTime::now()
--- a/src/coordination/order.rs
+++ b/src/coordination/order.rs
@@ -125,6 +125,18 @@
             .min_by(f64::total_cmp)
     }
 
+    /// Until each aim by which the job should be finished is due, in seconds.
+    pub(super) fn due_times<'a>(
+        &'a self,
+        job: &'a Job,
+        now: f64,
+    ) -> impl Iterator<Item = f64> + 'a {
+        let age_s = now - job.at;
+        let aims = self.params.objectives.iter().filter(|o| o.kind != "wait");
+        aims.filter_map(move |o| left_s(o, job, age_s, 0.0))
+            .chain(job.spec.deadline_s.map(|d| d - age_s))
+    }
+
     /// Whether stopping others for the job still serves: an aim is in reach, or
     /// it has none to tell by. (Waiting until an aim was close cost reminders
     /// their deadlines and saved riga nothing: see `docs/measurements.md`.)
--- a/src/coordination/preempt.rs
+++ b/src/coordination/preempt.rs
@@ -26,7 +26,7 @@
 /// What stopping the attempt would lose, in CPU seconds, and the grace to stop
 /// it with. Work that can save does so unless saving takes longer than what it
 /// would keep, or the room is needed at once.
-fn loss(spec: &JobSpec, ran_s: f64, at_once: bool) -> (f64, f64) {
+pub(super) fn loss(spec: &JobSpec, ran_s: f64, at_once: bool) -> (f64, f64) {
     let weight = spec.cpus.max(spec.gpus).max(0.1);
     if spec.checkpoint_s <= 0.0 {
         return (ran_s * weight, 0.0);
--- a/src/coordination/reach.rs
+++ b/src/coordination/reach.rs
@@ -52,7 +52,9 @@
     /// than the longest time between two reports (1.25 `report_s`) and a delay.
     pub fn reach(&self, now: f64) -> (usize, usize) {
         let due_s = 1.5 * self.params.report_s;
-        let expected = |m: &&super::machine::Machine| m.recorded && m.standing == Standing::Up;
+        // What operators switched off is silent for another reason.
+        let expected =
+            |m: &&super::machine::Machine| m.recorded && !m.held && m.standing == Standing::Up;
         let mut sums = (0, 0);
         for m in self.machines.values().filter(expected) {
             sums.0 += 1;
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -95,8 +95,12 @@
         if !self.machines.contains_key(&name) {
             // Not in our record, so nothing can have been started on it. It
             // becomes usable once the record with it is written.
-            self.machines
-                .insert(name.clone(), Machine::new(info_of(report), false, now));
+            let held = self.wishes.contains_key(&name);
+            let machine = Machine {
+                held,
+                ..Machine::new(info_of(report), false, now)
+            };
+            self.machines.insert(name.clone(), machine);
             self.record_dirty = true;
         }
         let Some(m) = self.machines.get_mut(&name) else {
@@ -279,7 +283,7 @@
     }
 
     /// Removes stopped attempts that were never there once no copy is in flight.
-    fn settle(&mut self, name: &Name) {
+    pub(super) fn settle(&mut self, name: &Name) {
         let Some(m) = self.machines.get(name) else {
             return;
         };
@@ -339,6 +343,10 @@
         let runs = phase != Phase::Exited && started.is_some();
         if runs != active.counted {
             active.counted = runs;
+            // One that is shown for the first time began before we knew of it.
+            if runs && job.begin() && !fresh {
+                self.learned.waited(&job.spec.class, now - job.at);
+            }
             job.running = if runs {
                 job.running + 1
             } else {
@@ -401,7 +409,7 @@
                     m.errors = 0;
                 }
                 if let Some(at) = started {
-                    self.ran(&spec.class, now - at);
+                    self.ran(&spec, now - at);
                 }
             }
             Some(Cause::Error) => {
@@ -604,6 +612,7 @@
             self.dirty = true;
         }
         self.heed_notices(now);
+        self.tend_drains(now);
         self.cordon(now);
     }
 
@@ -615,7 +624,10 @@
     pub fn given_up(&self, now: f64) -> Vec<String> {
         let silent_s = self.params.silent_s() + self.params.report_s;
         let unknown_s = 1.5 * self.params.report_s + 0.5;
-        let recorded = self.machines.values().filter(|m| m.recorded);
+        // One that an operator set aside and that was proven empty is switched off
+        // for a reason, and holds up nobody.
+        let recorded = self.machines.values();
+        let recorded = recorded.filter(|m| m.recorded && !self.proven_aside(&m.info.id));
         // One that was asked answers within milliseconds; a tenth of a lease
         // covers a busy owner, which hears from a thousand at once. When all
         // but a few have come the rush is over, and the whole share waits for
@@ -666,7 +678,7 @@
     pub fn cut_zones(&self, now: f64) -> Vec<String> {
         let silent_s = self.params.silent_s() + self.params.report_s;
         let mut zones: Vec<(&str, usize, usize)> = Vec::new();
-        for m in self.machines.values() {
+        for m in self.machines.values().filter(|m| !m.held) {
             let silent = usize::from(self.silence(m.heard, now) > silent_s);
             match zones.iter_mut().find(|z| z.0 == m.info.zone) {
                 Some(z) => {
@@ -715,7 +727,7 @@
         let bad: Vec<Name> = self
             .machines
             .iter()
-            .filter(|(_, m)| m.standing == Standing::Up && m.errors >= limit)
+            .filter(|(_, m)| m.standing == Standing::Up && !m.held && m.errors >= limit)
             .map(|(n, _)| n.clone())
             .collect();
         for name in bad {
--- /dev/null
+++ b/src/coordination/snapshot.rs
@@ -0,0 +1,161 @@
+//! The state of a share at one moment, as plans are made from it, and a core
+//! made from such a snapshot: the same code decides there as here.
+
+use super::core::{Core, Params};
+use super::fence::Fence;
+use super::machine::Standing;
+use crate::protocol::cloud::MachineType;
+use crate::protocol::job::JobSpec;
+use crate::protocol::policy::Policy;
+use crate::protocol::settings::{Objective, Team};
+use crate::storage::marks::Marks;
+use crate::storage::records::{LiveJob, MachineInfo};
+use serde::{Deserialize, Serialize};
+use std::rc::Rc;
+
+/// Points of a distribution that travel with a snapshot.
+const POINTS: usize = 32;
+
+/// An attempt on a machine.
+#[derive(Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub struct SnapTask {
+    pub job: String,
+    pub index: u32,
+    pub attempt: u64,
+    /// For how long it has run; `None` while it fetches or is under way.
+    pub ran_s: Option<f64>,
+}
+
+/// A machine that tasks may be on.
+#[derive(Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub struct SnapMachine {
+    pub info: MachineInfo,
+    /// Tasks may start on it.
+    pub usable: bool,
+    pub session: u64,
+    pub tasks: Vec<SnapTask>,
+}
+
+/// A live job.
+#[derive(Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub struct SnapJob {
+    pub spec: Rc<JobSpec>,
+    pub age_s: f64,
+    /// Done tasks, as ranges.
+    pub done: String,
+}
+
+/// By how much the estimates of a class are off: run time against estimate, at
+/// evenly spaced quantiles.
+#[derive(Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub struct ClassError {
+    pub class: String,
+    pub tasks: u64,
+    pub ratios: Vec<f64>,
+}
+
+/// A share at one moment.
+#[derive(Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub struct Snapshot {
+    pub term: u64,
+    /// Revision of the live jobs that it shows.
+    pub revision: u64,
+    /// When it was made, in milliseconds of the time of day.
+    pub at_ms: u64,
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+    pub teams: Vec<Team>,
+    pub objectives: Vec<Objective>,
+    pub policy: Policy,
+    pub types: Vec<MachineType>,
+    pub machines: Vec<SnapMachine>,
+    pub jobs: Vec<SnapJob>,
+    pub errors: Vec<ClassError>,
+}
+
+impl Core {
+    /// The share as it is now.
+    pub fn snapshot(&self, now: f64) -> Snapshot {
+        let machines = self.machines.values();
+        let up = machines.filter(|m| m.standing != Standing::Expired);
+        let machines = up.map(|m| {
+            let tasks = m.holding().map(|((task, attempt), a)| SnapTask {
+                job: task.job.to_string(),
+                index: task.index,
+                attempt: *attempt,
+                ran_s: a.running.map(|t| now - t),
+            });
+            SnapMachine {
+                info: m.info.clone(),
+                usable: self.usable(m, now),
+                session: m.seen.0,
+                tasks: tasks.collect(),
+            }
+        });
+        let jobs = self.jobs.values().filter(|j| !j.over);
+        let jobs = jobs.map(|j| SnapJob {
+            spec: j.spec.clone(),
+            age_s: now - j.at,
+            done: j.done.to_text(),
+        });
+        let errors = self.learned.ratio.classes().into_iter();
+        let errors = errors.map(|(class, h)| {
+            let at = |i: usize| (i as f64 + 0.5) / POINTS as f64;
+            let ratio = |i| h.value_at_quantile(at(i)) as f64 / 1000.0;
+            ClassError {
+                class: class.into(),
+                tasks: h.len(),
+                ratios: (0..POINTS).map(ratio).collect(),
+            }
+        });
+        let mut types: Vec<MachineType> = self.types.values().cloned().collect();
+        types.sort_by(|a, b| a.name.cmp(&b.name));
+        Snapshot {
+            term: self.term,
+            revision: self.followed,
+            at_ms: ((now + self.wall_offset_s) * 1000.0).max(0.0) as u64,
+            report_s: self.params.report_s,
+            lease_s: self.params.lease_s,
+            cancel_s: self.params.cancel_s,
+            teams: self.params.teams.clone(),
+            objectives: self.params.objectives.clone(),
+            policy: self.params.policy.clone(),
+            types,
+            machines: machines.collect(),
+            jobs: jobs.collect(),
+            errors: errors.collect(),
+        }
+    }
+
+    /// An owner that took over, at the time 0, a share in this state: with the
+    /// machines that tasks may be on in its record, and none heard of yet.
+    pub fn of_snapshot(snapshot: &Snapshot, seed: u64) -> Core {
+        let params = Params {
+            lease_s: snapshot.lease_s,
+            report_s: snapshot.report_s,
+            cancel_s: snapshot.cancel_s,
+            teams: snapshot.teams.clone(),
+            objectives: snapshot.objectives.clone(),
+            policy: snapshot.policy.clone(),
+        };
+        let term = snapshot.term + 1;
+        let mut core = Core::new(params, term, Fence::new(term, Some(0.0)), seed);
+        core.set_types(&snapshot.types);
+        for machine in &snapshot.machines {
+            core.inherit(machine.info.clone(), 0.0);
+        }
+        for job in &snapshot.jobs {
+            let record = LiveJob {
+                spec: job.spec.clone(),
+                at_ms: 0,
+                done: job.done.clone(),
+            };
+            core.job_added(record, 1, Marks::default());
+            if let Some(made) = core.jobs.get_mut(job.spec.id.as_str()) {
+                made.at = -job.age_s;
+            }
+        }
+        core
+    }
+}
--- /dev/null
+++ b/src/coordination/views.rs
@@ -0,0 +1,232 @@
+//! What operators see of a share: jobs, teams, machines, waits. Counted anew for
+//! each look, from the owner's view as it is.
+
+use super::core::Core;
+use super::job::Job;
+use super::learn::ByClass;
+use super::machine::{Machine, Standing as Up};
+use super::quota::{within_limit, Usage};
+use crate::protocol::admin::{
+    JobRow, Jobs, MachineRow, MachineState, Spread, Standing, TeamRow, Waits,
+};
+use hdrhistogram::Histogram;
+
+/// A distribution in milliseconds as operators see it.
+pub fn spread(name: &str, ms: &Histogram<u32>) -> Spread {
+    let at = |q| ms.value_at_quantile(q) as f64 / 1000.0;
+    Spread {
+        name: name.into(),
+        count: ms.len(),
+        p50_s: at(0.5),
+        p90_s: at(0.9),
+        p99_s: at(0.99),
+        max_s: ms.max() as f64 / 1000.0,
+    }
+}
+
+fn spreads(ms: &ByClass) -> Vec<Spread> {
+    let classes = ms.classes().into_iter().filter(|(n, _)| !n.is_empty());
+    classes.map(|(n, h)| spread(n, h)).collect()
+}
+
+impl Core {
+    /// Why nothing of the job runs or could be added now.
+    fn reason(&self, job: &Job, usage: &Usage, now: f64) -> &'static str {
+        if !self.fence.open {
+            return "waits until all machines are accounted for after a takeover";
+        }
+        if job.suspect() {
+            return "fails on every machine it was tried on: look at the job";
+        }
+        if job.lacking() == 0 {
+            return "all tasks are on machines";
+        }
+        if job.not_before > now {
+            return "waits after a failure or a refused start";
+        }
+        if !within_limit(self.team(job.team), usage.of(job.team), &job.spec, 1.0) {
+            return "its team is at its limit";
+        }
+        if !self
+            .index
+            .pools_for(&job.spec, &self.types, |_| true)
+            .is_empty()
+        {
+            return "waits for room";
+        }
+        let aside = |m: &Machine| m.held && self.may_use(&job.spec, m);
+        if self.machines.values().any(aside) {
+            "every machine that it may use is drained"
+        } else {
+            "no machine that it may use is up"
+        }
+    }
+
+    /// How the job stands: nothing of it runs although several leases passed, it
+    /// only fails, or every aim is out of reach.
+    fn standing(&self, job: &Job, now: f64) -> Standing {
+        let age_s = now - job.at;
+        if job.suspect() {
+            Standing::Failing
+        } else if job.running == 0 && job.lacking() > 0 && age_s > 3.0 * self.params.lease_s {
+            Standing::Stuck
+        } else if !self.pressed(job, now) {
+            Standing::Late
+        } else {
+            Standing::Ok
+        }
+    }
+
+    /// Live jobs, the worst first, and at most so many of them.
+    pub fn job_rows(&self, now: f64, most: usize) -> Jobs {
+        let usage = self.usage();
+        let mut ranked: Vec<(Standing, f64, &str, &Job)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| !j.over)
+            .map(|(id, j)| (self.standing(j, now), j.at, &**id, j))
+            .collect();
+        ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
+        let count = |s: Standing| ranked.iter().filter(|r| r.0 == s).count();
+        let row = |&(standing, at, id, job): &(Standing, f64, &str, &Job)| JobRow {
+            id: id.into(),
+            class: job.spec.class.clone(),
+            team: job.spec.team.clone(),
+            urgency: job.spec.urgency,
+            standing,
+            why: self.reason(job, &usage, now).into(),
+            age_s: now - at,
+            slack_s: self.slack_s(job, now),
+            tasks: job.spec.tasks,
+            done: job.written.len() as u32,
+            running: job.running,
+            waiting: job.lacking(),
+        };
+        Jobs {
+            live: ranked.len(),
+            stuck: count(Standing::Stuck),
+            failing: count(Standing::Failing),
+            late: count(Standing::Late),
+            rows: ranked.iter().take(most).map(row).collect(),
+        }
+    }
+
+    /// Teams against their guarantees and limits.
+    pub fn team_rows(&self) -> Vec<TeamRow> {
+        let usage = self.usage();
+        let teams = self.params.teams.iter().enumerate();
+        teams
+            .map(|(at, team)| {
+                let used = usage.of(Some(at));
+                let mut row = TeamRow {
+                    name: team.name.clone(),
+                    cpus: used.0,
+                    cpus_guaranteed: team.cpus,
+                    cpus_max: team.cpus_max,
+                    gpus: used.1,
+                    gpus_guaranteed: team.gpus,
+                    gpus_max: team.gpus_max,
+                    jobs: 0,
+                    waiting_tasks: 0,
+                    waiting_cpus: 0.0,
+                };
+                let own = |j: &&Job| j.team == Some(at) && !j.over;
+                for job in self.jobs.values().filter(own) {
+                    row.jobs += 1;
+                    row.waiting_tasks += job.lacking();
+                    row.waiting_cpus += f64::from(job.lacking()) * job.spec.cpus;
+                }
+                row
+            })
+            .collect()
+    }
+
+    /// A machine's state, and what that rests on.
+    fn machine_state(&self, m: &Machine, now: f64) -> (MachineState, String) {
+        let silent_s = self.silence(m.heard, now);
+        let wish = self.wishes.get(&*m.info.id);
+        let aside = |w: &super::drains::Wish| format!("by {}: {}", w.drain.by, w.drain.why);
+        match (m.standing, wish) {
+            (_, Some(w)) if w.drain.drained.is_some() => (MachineState::Drained, aside(w)),
+            (_, Some(w)) => (MachineState::Draining, aside(w)),
+            (Up::Draining, _) => {
+                let why = format!("taken out of use; {} failures in a row", m.errors);
+                (MachineState::Returning, why)
+            }
+            (Up::Expired, _) => {
+                let why = "silent for a lease that nobody can have renewed";
+                (MachineState::Expired, why.into())
+            }
+            _ if !m.recorded => {
+                let why = "not in our written record yet";
+                (MachineState::Unproven, why.into())
+            }
+            _ if !m.fenced => {
+                let why = format!("no report under term {} yet", self.term);
+                (MachineState::Unproven, why)
+            }
+            _ if m.strangers > 0 => {
+                let why = format!("runs {} tasks of jobs that we do not know", m.strangers);
+                (MachineState::Unproven, why)
+            }
+            _ if m.notice_at.is_some() => {
+                let left = m.notice_at.map_or(0.0, |t| t - now);
+                (
+                    MachineState::Noticed,
+                    format!("the cloud takes it in {left:.0} s"),
+                )
+            }
+            _ if silent_s >= self.params.silent_s() => {
+                (MachineState::Silent, format!("silent for {silent_s:.0} s"))
+            }
+            _ => (MachineState::Usable, String::new()),
+        }
+    }
+
+    /// Machines, those first that are of least use.
+    pub fn machine_rows(&self, now: f64) -> Vec<MachineRow> {
+        let mut rows: Vec<MachineRow> = self
+            .machines
+            .values()
+            .map(|m| {
+                let (state, why) = self.machine_state(m, now);
+                MachineRow {
+                    id: m.info.id.clone(),
+                    kind: m.info.kind.clone(),
+                    zone: m.info.zone.clone(),
+                    spot: m.info.spot,
+                    state,
+                    why,
+                    silent_s: self.silence(m.heard, now).max(0.0),
+                    tasks: m.holding().count() as u32,
+                    bound: m.queue.len() as u32,
+                    free_cpus: m.free.cpus,
+                }
+            })
+            .collect();
+        rows.sort_by(|a, b| b.state.cmp(&a.state).then_with(|| a.id.cmp(&b.id)));
+        rows
+    }
+
+    /// How many machines are in each state.
+    pub fn machine_counts(&self, now: f64) -> Vec<(MachineState, usize)> {
+        let mut counts: Vec<(MachineState, usize)> = Vec::new();
+        for m in self.machines.values() {
+            let state = self.machine_state(m, now).0;
+            match counts.iter_mut().find(|c| c.0 == state) {
+                Some(c) => c.1 += 1,
+                None => counts.push((state, 1)),
+            }
+        }
+        counts.sort();
+        counts
+    }
+
+    /// Waits of jobs for their first task.
+    pub fn waits(&self) -> Waits {
+        Waits {
+            first_start: spreads(&self.learned.wait_ms),
+            acceptance: None,
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`protocol`] knows what they mean, [`storage`] keeps the books, and
 //! [`coordination`] decides. [`app`] ties them together into a process.
 
+pub mod admin;
 pub mod app;
 pub mod coordination;
 pub mod protocol;
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -18,6 +18,23 @@
     Promise(u64),
     /// How many reports of workers did you turn away lately?
     TurnedAway,
+    /// What do operators see of your share?
+    Admin(Topic),
+}
+
+/// What operators look at.
+#[derive(Serialize, Deserialize, Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Topic {
+    /// Live jobs, the worst first, at most so many.
+    Jobs(u32),
+    Teams,
+    Machines,
+    /// How many machines are in each state.
+    Fleet,
+    Waits,
+    Drains,
+    /// What a plan is made from.
+    Snapshot,
 }
 
 /// Its answer.
@@ -32,6 +49,8 @@
     /// No later owner is known, or the promise is given.
     Agreed,
     TurnedAway(u32),
+    /// The term and the data, as JSON.
+    Admin(u64, String),
     /// The asked controller does not own what was asked about.
     NotMine,
 }
@@ -41,9 +60,12 @@
     bincode::serde::encode_to_vec(message, bincode::config::standard()).unwrap_or_default()
 }
 
+/// Largest message taken: a snapshot of several thousand machines and jobs.
+const MOST_BYTES: usize = 4 << 20;
+
 /// Decodes a message, bounded, since peers are not trusted to be of our version.
 pub fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Option<T> {
-    let config = bincode::config::standard().with_limit::<1_000_000>();
+    let config = bincode::config::standard().with_limit::<MOST_BYTES>();
     bincode::serde::decode_from_slice(bytes, config)
         .ok()
         .map(|(message, _)| message)
--- a/src/protocol/policy.rs
+++ b/src/protocol/policy.rs
@@ -7,10 +7,11 @@
 //! Every field has a default; an unknown or impossible one is an error, since
 //! nobody but the operator writes this file.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// Open points of the design, as settings.
-#[derive(Deserialize, Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Policy {
     /// Machines sampled for a task. Two: the step from one to two choices is
@@ -32,6 +33,8 @@
     pub idle_boots: f64,
     /// Errors in a row after which a machine is cordoned.
     pub cordon_errors: u32,
+    /// Where the operators' API listens; without it there is none.
+    pub admin: Option<SocketAddr>,
 }
 
 impl Default for Policy {
@@ -45,6 +48,7 @@
             headroom: 0.25,
             idle_boots: 20.0,
             cordon_errors: 3,
+            admin: None,
         }
     }
 }
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -2,7 +2,7 @@
 //! malformed or contradictory one is named in the error.
 
 use super::policy::Policy;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
@@ -24,7 +24,7 @@
 }
 
 /// A team's guarantee and limit; 0 means none.
-#[derive(Deserialize, Clone, Debug)]
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
 pub struct Team {
     pub name: String,
     #[serde(default)]
@@ -38,7 +38,7 @@
 }
 
 /// What is expected of a class of jobs.
-#[derive(Deserialize, Clone, Debug)]
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
 pub struct Objective {
     pub kind: String,
     #[serde(default)]
@@ -246,6 +246,12 @@
     /// be impossible together.
     pub fn check_policy(&self, policy: &Policy) -> Result<(), SettingsError> {
         let c = &self.cluster;
+        if policy
+            .admin
+            .is_some_and(|a| a == self.front || a == self.mesh_addr)
+        {
+            return bad("admin", "is the users' or the controllers' address");
+        }
         let lease_s = c.workers.lease_s;
         let life_s = policy.life_s(lease_s);
         if policy.quiet_leases * lease_s < 1.5 * life_s {
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -38,6 +38,12 @@
 pub fn alive(host: &str) -> String {
     format!("fx/a/alive/{host}")
 }
+/// Machines that operators set aside.
+pub const DRAINS: &str = "fx/a/drain/";
+/// Key of a machine's drain.
+pub fn drain(host: &str) -> String {
+    format!("{DRAINS}{host}")
+}
 /// Largest transaction, by the protocol.
 pub const TXN_BYTES: usize = 64 * 1024;
 
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -58,9 +58,32 @@
     Data,
 }
 
+/// What was met at a service: counts, and when it last answered and failed to.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Met {
+    pub answered: u64,
+    pub failed: u64,
+    pub answered_at: Option<Instant>,
+    pub failed_at: Option<Instant>,
+}
+
+impl Met {
+    fn note<T>(&mut self, result: &Result<T, Failure>) {
+        let at = Some(Instant::now());
+        if result.is_ok() {
+            self.answered += 1;
+            self.answered_at = at;
+        } else {
+            self.failed += 1;
+            self.failed_at = at;
+        }
+    }
+}
+
 /// Client of the state service.
 #[derive(Clone)]
 pub struct StateClient {
+    met: Rc<RefCell<Met>>,
     http: Http,
     watch: Http,
     addr: SocketAddr,
@@ -84,6 +107,7 @@
         let timeout_s = 1.0;
         let sockets = (settings.cluster.quota.max_sockets / 16).clamp(4, 48);
         StateClient {
+            met: Rc::default(),
             http: Http::new(0.5, sockets),
             watch: Http::new(0.5, 4),
             addr: settings.services.state,
@@ -128,18 +152,23 @@
         body: Option<Vec<u8>>,
         timeout_s: f64,
     ) -> Result<Response, Failure> {
-        let response = self
-            .http
-            .call(self.addr, method, path, body, timeout_s)
-            .await?;
-        match response.status {
-            429 => {
+        let sent = self.http.call(self.addr, method, path, body, timeout_s);
+        let result = match sent.await {
+            Ok(response) if response.status == 429 => {
                 self.requests.borrow_mut().drain();
                 Err(Failure::Refused)
             }
-            503 => Err(Failure::Refused),
-            _ => Ok(response),
-        }
+            Ok(response) if response.status == 503 => Err(Failure::Refused),
+            Ok(response) => Ok(response),
+            Err(error) => Err(error.into()),
+        };
+        self.met.borrow_mut().note(&result);
+        result
+    }
+
+    /// How it was met so far.
+    pub fn met(&self) -> Met {
+        *self.met.borrow()
     }
 
     /// Reads a key.
@@ -258,6 +287,7 @@
 /// Client of the cloud.
 #[derive(Clone)]
 pub struct CloudClient {
+    met: Rc<RefCell<Met>>,
     http: Http,
     addr: SocketAddr,
     start: Instant,
@@ -268,6 +298,7 @@
     pub fn new(settings: &Settings) -> CloudClient {
         let rps = settings.cluster.cloud.rps;
         CloudClient {
+            met: Rc::default(),
             http: Http::new(1.0, 4),
             addr: settings.services.cloud,
             start: Instant::now(),
@@ -293,12 +324,22 @@
                 return Err(Failure::Refused);
             }
         }
-        let response = self.http.call(self.addr, method, path, body, 5.0).await?;
-        match response.status {
-            200 => Ok(response),
-            429 | 503 => Err(Failure::Refused),
-            s => Err(Failure::Status(s)),
-        }
+        let sent = self.http.call(self.addr, method, path, body, 5.0).await;
+        let result = match sent {
+            Ok(response) => match response.status {
+                200 => Ok(response),
+                429 | 503 => Err(Failure::Refused),
+                s => Err(Failure::Status(s)),
+            },
+            Err(error) => Err(error.into()),
+        };
+        self.met.borrow_mut().note(&result);
+        result
+    }
+
+    /// How it was met so far.
+    pub fn met(&self) -> Met {
+        *self.met.borrow()
     }
 
     pub async fn types(&self) -> Result<TypeList, Failure> {
@@ -410,11 +451,17 @@
 }
 
 impl MeshClient {
+    /// Asks a peer; hints are worth no long wait.
     pub async fn ask(&self, addr: SocketAddr, ask: &Ask) -> Option<Answer> {
+        self.ask_within(addr, ask, 0.3).await
+    }
+
+    /// Asks a peer with this much patience.
+    pub async fn ask_within(&self, addr: SocketAddr, ask: &Ask, wait_s: f64) -> Option<Answer> {
         let body = mesh::encode(ask);
         let response = self
             .http
-            .call(addr, Method::POST, "/mesh", Some(body), 0.3)
+            .call(addr, Method::POST, "/mesh", Some(body), wait_s)
             .await
             .ok()?;
         if response.status != 200 {
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -9,13 +9,14 @@
 use foxspur::coordination::fence::Fence;
 use foxspur::coordination::machine::{Active, Standing};
 use foxspur::coordination::sessions::{Answer, CallResult};
+use foxspur::protocol::admin::{Drain, Rest};
 use foxspur::protocol::job::Urgency;
 use foxspur::protocol::worker::{Cause, Command, Direct, Phase, Reply, Report};
 use foxspur::storage::marks::Marks;
 use foxspur::storage::records::{LiveJob, MachineInfo};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 const STEP_S: f64 = 0.1;
 /// For how long a former owner without contact goes on; it may stand still for
@@ -66,6 +67,11 @@
     paused: BTreeMap<u64, f64>,
     /// Jobs that an owner does not know of yet: when it will, its term.
     unheard: Vec<(f64, u64, LiveJob, u64)>,
+    /// Machines set aside, as recorded, and when the owner hears of it. (A former
+    /// owner never hears: it would learn first that the share is not its own.)
+    drains: HashMap<String, (Drain, u64)>,
+    hears_at: f64,
+    drained: usize,
 }
 
 #[allow(clippy::large_enum_variant)]
@@ -105,6 +111,9 @@
                     if self.workers[w].tasks.contains_key(&key) {
                         continue;
                     }
+                    let wish = self.drains.get(&self.workers[w].id);
+                    let aside = wish.and_then(|d| d.0.drained.as_ref());
+                    assert!(aside.is_none(), "{task} starts on a drained machine");
                     // The rules, at each start.
                     for other in &self.workers {
                         for ((t, a), state) in &other.tasks {
@@ -436,6 +445,23 @@
                     let written = self.record.clone();
                     core.record_written(&written);
                 }
+                for (drain, version) in core.drains_proven(0, 9) {
+                    let (host, known) = (drain.host.clone(), self.drains.get(&drain.host));
+                    if self.rng.random_bool(0.5) && known.is_some_and(|d| d.1 == version) {
+                        self.version += 1;
+                        self.drains.insert(host.clone(), (drain, self.version));
+                        self.hears_at = now + 0.2;
+                        self.drained += 1;
+                        // It is switched off for a while, perhaps past its lease.
+                        let w = self.workers.iter_mut().find(|w| w.id == host);
+                        if let Some(w) = w.filter(|_| self.rng.random_bool(0.7)) {
+                            w.hung_until = now + self.rng.random_range(1.0..40.0);
+                        }
+                    }
+                }
+                if now >= self.hears_at {
+                    core.set_drains(&self.drains);
+                }
                 if core.wants_new_term(now) {
                     self.term += 1;
                     core.raise_term(self.term);
@@ -471,6 +497,32 @@
         }
     }
 
+    /// An operator sets a machine aside, or takes it back, often early.
+    fn drain_or_undrain(&mut self, workers: usize) {
+        let host = format!("m-{}", self.rng.random_range(0..workers));
+        self.version += 1;
+        if self.drains.remove(&host).is_none() {
+            let soon = self.rng.random_range(0.0..30.0);
+            let drain = Drain {
+                host: host.clone(),
+                order: "o".into(),
+                by: "someone".into(),
+                why: "a test".into(),
+                at_ms: 0,
+                deadline_ms: Some(((self.now + soon) * 1000.0) as u64),
+                rest: if self.rng.random_bool(0.5) {
+                    Rest::Stop
+                } else {
+                    Rest::Leave
+                },
+                drained: None,
+                roll: None,
+            };
+            self.drains.insert(host, (drain, self.version));
+        }
+        self.hears_at = self.now + self.rng.random_range(0.0..3.0);
+    }
+
     fn take_over(&mut self, crash: bool) {
         self.term += 1;
         if crash {
@@ -483,6 +535,7 @@
         let fence = Fence::new(self.term, quiet);
         let mut core = Core::new(params(teams), self.term, fence, self.term);
         core.set_types(&types());
+        core.set_drains(&self.drains);
         for info in &self.record {
             core.inherit(info.clone(), self.now);
         }
@@ -513,7 +566,7 @@
     assert!(strangers || running.count() == kept as usize);
 }
 
-fn play(seed: u64, workers: usize, until: f64) -> (usize, usize) {
+fn play(seed: u64, workers: usize, until: f64) -> (usize, usize, usize) {
     let mut world = World {
         now: 0.0,
         rng: StdRng::seed_from_u64(seed),
@@ -529,6 +582,9 @@
         limit: 5.0 * workers as f64,
         paused: BTreeMap::new(),
         unheard: Vec::new(),
+        drains: HashMap::new(),
+        hears_at: 0.0,
+        drained: 0,
     };
     for i in 0..workers {
         world.workers.push(Worker {
@@ -608,6 +664,17 @@
                 world.workers[w].cut_until = until;
             }
         }
+        if !calm
+            && world
+                .rng
+                .random_bool((0.002 * workers as f64).clamp(0.01, 0.1))
+        {
+            world.drain_or_undrain(workers);
+        }
+        if calm && !world.drains.is_empty() {
+            world.drains.clear();
+            world.hears_at = now;
+        }
         world.hear();
         world.deliver();
         world.workers_step();
@@ -640,29 +707,30 @@
         left.is_empty(),
         "seed {seed}: not done: {left:?}, expired {expired:?}"
     );
-    (world.started, ids.len())
+    (world.started, ids.len(), world.drained)
 }
 
 #[test]
 fn rules_hold_while_owners_and_messages_come_late() {
-    let mut started = 0;
+    let (mut started, mut drained) = (0, 0);
     let seeds = std::env::var("SEEDS").ok().and_then(|s| s.parse().ok());
     for seed in 0..seeds.unwrap_or(40) {
-        let (n, jobs) = play(seed, 4, 600.0);
+        let (n, jobs, aside) = play(seed, 4, 600.0);
         assert!(jobs > 0);
         started += n;
+        drained += aside;
     }
     assert!(
-        started > 1000,
-        "only {started} starts: the check is too weak"
+        started > 1000 && drained > 40,
+        "only {started} starts, {drained} drained: the check is too weak"
     );
 }
 
 #[test]
 fn rules_hold_on_a_fleet_of_hundreds() {
-    let (started, jobs) = play(1, 300, 300.0);
+    let (started, jobs, drained) = play(1, 300, 300.0);
     assert!(
-        jobs > 20 && started > 1000,
-        "only {started} starts of {jobs} jobs: the check is too weak"
+        jobs > 20 && started > 1000 && drained > 5,
+        "only {started} starts of {jobs} jobs, {drained} drained: the check is too weak"
     );
 }
