--- /dev/null
+++ b/crates/plan/src/html.rs
@@ -0,0 +1,307 @@
+//! A plan as one self-contained HTML file: figures, tables, pictures.
+
+use crate::plan::{JobPlan, Plan, Variant};
+use plotters::coord::Shift;
+use plotters::prelude::*;
+use std::fmt::Write;
+
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+type Drawn = Result<(), Box<dyn std::error::Error>>;
+
+const SIZE: (u32, u32) = (900, 320);
+/// Machines in the timeline, and rows in a table, at most.
+const LANES: usize = 24;
+const ROWS: usize = 200;
+
+/// Text that is not ours, made safe to stand in HTML.
+fn escaped(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for c in text.chars() {
+        match c {
+            '&' => out.push_str("&amp;"),
+            '<' => out.push_str("&lt;"),
+            '>' => out.push_str("&gt;"),
+            '"' => out.push_str("&quot;"),
+            '\'' => out.push_str("&#39;"),
+            c => out.push(c),
+        }
+    }
+    out
+}
+
+/// A picture as SVG, or why there is none.
+fn svg(height: u32, draw: impl FnOnce(&Area) -> Drawn) -> String {
+    let mut text = String::new();
+    let drawn = {
+        let area = SVGBackend::with_string(&mut text, (SIZE.0, height)).into_drawing_area();
+        area.fill(&WHITE)
+            .map_err(|e| e.to_string())
+            .and_then(|()| draw(&area).map_err(|e| e.to_string()))
+            .and_then(|()| area.present().map_err(|e| e.to_string()))
+    };
+    match drawn {
+        Ok(()) => text,
+        Err(error) => format!("<p>no picture: {}</p>", escaped(&error)),
+    }
+}
+
+/// What runs on each drained machine in the first run, until it is empty.
+fn timeline(plan: &Plan) -> String {
+    let lanes: Vec<_> = plan.picture.machines.iter().take(LANES).collect();
+    let end = plan.picture.drained_s.values().copied().fold(1.0, f64::max) * 1.1;
+    let end = end
+        .min(plan.options.horizon_s)
+        .max(plan.order.start_s + 1.0);
+    svg(60 + 22 * lanes.len().max(1) as u32, |area| {
+        let mut chart = ChartBuilder::on(area)
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(110)
+            .build_cartesian_2d(0.0..end, 0.0..lanes.len().max(1) as f64)?;
+        let name = |y: &f64| {
+            let at = lanes.len().checked_sub(1 + *y as usize);
+            at.and_then(|at| lanes.get(at))
+                .map_or(String::new(), |l| l.0.clone())
+        };
+        chart
+            .configure_mesh()
+            .disable_y_mesh()
+            .y_labels(lanes.len().max(1) + 1)
+            .y_label_formatter(&name)
+            .x_desc("seconds from the snapshot")
+            .draw()?;
+        for (lane, (host, past)) in lanes.iter().enumerate() {
+            let y = (lanes.len() - 1 - lane) as f64;
+            for (from, to, _, done) in past.iter() {
+                let colour = if *done { &GREEN } else { &RED };
+                let (from, to) = (from.max(0.0), to.min(end));
+                if from < to {
+                    let bar = [(from, y + 0.15), (to, y + 0.85)];
+                    chart.draw_series([Rectangle::new(bar, colour.mix(0.25).filled())])?;
+                }
+            }
+            if let Some(at) = plan.picture.drained_s.get(*host) {
+                let line = vec![(*at, y), (*at, y + 1.0)];
+                chart.draw_series([PathElement::new(line, BLACK.stroke_width(2))])?;
+            }
+        }
+        let start = vec![
+            (plan.order.start_s, 0.0),
+            (plan.order.start_s, lanes.len() as f64),
+        ];
+        chart.draw_series([PathElement::new(start, BLUE.stroke_width(1))])?;
+        Ok(())
+    })
+}
+
+/// Free CPUs over time, without and with the drain.
+fn capacity(plan: &Plan) -> String {
+    let (without, with) = &plan.picture.free;
+    let most = without.iter().chain(with).map(|p| p.1).fold(1.0, f64::max);
+    svg(SIZE.1, |area| {
+        let mut chart = ChartBuilder::on(area)
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(60)
+            .build_cartesian_2d(0.0..plan.options.horizon_s, 0.0..most * 1.05)?;
+        chart
+            .configure_mesh()
+            .x_desc("seconds from the snapshot")
+            .y_desc("free CPUs")
+            .draw()?;
+        for (points, colour, name) in [(without, BLUE, "without"), (with, RED, "with the drain")] {
+            chart
+                .draw_series(LineSeries::new(points.iter().copied(), &colour))?
+                .label(name)
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], colour));
+        }
+        chart
+            .configure_series_labels()
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK)
+            .draw()?;
+        Ok(())
+    })
+}
+
+/// Late jobs by class, without and with the drain.
+fn lateness(plan: &Plan) -> String {
+    let classes: Vec<_> = plan.classes.iter().take(LANES).collect();
+    let most = classes
+        .iter()
+        .map(|c| c.late_with.max(c.late_without))
+        .fold(1.0, f64::max);
+    svg(SIZE.1, |area| {
+        let mut chart = ChartBuilder::on(area)
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(60)
+            .build_cartesian_2d(0.0..classes.len().max(1) as f64, 0.0..most * 1.1)?;
+        let name = |x: &f64| {
+            let class = classes.get(*x as usize);
+            class.map_or(String::new(), |c| c.class.clone())
+        };
+        chart
+            .configure_mesh()
+            .disable_x_mesh()
+            .x_labels(classes.len().max(1) + 1)
+            .x_label_formatter(&name)
+            .y_desc("late jobs, on average")
+            .draw()?;
+        for (at, class) in classes.iter().enumerate() {
+            let x = at as f64;
+            let bars = [
+                (x + 0.15, x + 0.45, class.late_without, BLUE),
+                (x + 0.55, x + 0.85, class.late_with, RED),
+            ];
+            for (from, to, height, colour) in bars {
+                let bar = [(from, 0.0), (to, height)];
+                chart.draw_series([Rectangle::new(bar, colour.mix(0.6).filled())])?;
+            }
+        }
+        Ok(())
+    })
+}
+
+fn percent(share: f64) -> String {
+    format!("{:.0}%", share * 100.0)
+}
+
+fn table(head: &[&str], rows: impl Iterator<Item = Vec<String>>) -> String {
+    let mut text = String::from("<table><tr>");
+    for name in head {
+        let _ = write!(text, "<th>{}</th>", escaped(name));
+    }
+    text.push_str("</tr>");
+    for row in rows {
+        text.push_str("<tr>");
+        for cell in row {
+            let _ = write!(text, "<td>{}</td>", escaped(&cell));
+        }
+        text.push_str("</tr>");
+    }
+    text.push_str("</table>");
+    text
+}
+
+fn job_row(j: &JobPlan) -> Vec<String> {
+    vec![
+        j.id.clone(),
+        j.class.clone(),
+        percent(j.late_because),
+        percent(j.late_anyway),
+        percent(j.moved),
+        percent(j.waits),
+        format!("{:.0}", j.later_s),
+        format!("{:.0}", j.lost_cpu_s),
+    ]
+}
+
+fn variant_row(v: &Variant) -> Vec<String> {
+    let drained = v.drained_s.map_or("never".to_string(), |r| {
+        format!("{:.0} / {:.0}", r.p50, r.p90)
+    });
+    vec![
+        v.name.clone(),
+        format!("{:.2}", v.late),
+        percent(v.any_late),
+        format!("{:.0}", v.lost_cpu_s),
+        drained,
+        percent(v.overdue),
+    ]
+}
+
+const VARIANT: [&str; 6] = [
+    "way",
+    "deadlines missed because of it",
+    "runs with any",
+    "CPU s lost",
+    "all drained after, s (p50 / p90)",
+    "overdue",
+];
+
+/// The plan as HTML.
+pub fn html(plan: &Plan) -> String {
+    let mut page = String::from(
+        "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>foxspur: plan of a drain</title>\
+         <style>body{font:15px/1.4 sans-serif;margin:2em auto;max-width:60em;color:#222}\
+         table{border-collapse:collapse;margin:.5em 0 1.5em}td,th{border:1px solid #ccc;padding:.2em .6em;text-align:left}\
+         th{background:#f2f2f2}svg{max-width:100%}</style></head><body>",
+    );
+    let _ = write!(
+        page,
+        "<h1>Plan: drain {}</h1><p>Made from the state of term {}, revision {}: {} machines, {} live jobs. \
+         {} runs of {:.0} s, each with and without the drain, under the same draws; the draws are simulated.</p>",
+        escaped(&plan.order.hosts.join(", ")),
+        plan.term,
+        plan.revision,
+        plan.machines,
+        plan.jobs_live,
+        plan.options.samples,
+        plan.options.horizon_s,
+    );
+    let _ = write!(
+        page,
+        "<p>Deadlines missed because of the drain: <b>{:.2}</b> on average; {} of the runs miss any. What is \
+         not named below happens with a probability below {:.1}% (at 95%).</p>",
+        plan.all.late,
+        percent(plan.all.any_late),
+        plan.unnamed_below * 100.0,
+    );
+    page.push_str("<h2>Machines</h2>");
+    page.push_str(&table(
+        &[
+            "machine",
+            "zone",
+            "tasks now",
+            "drained after, s (p50 / p90)",
+            "overdue",
+        ],
+        plan.hosts.iter().take(ROWS).map(|h| {
+            let drained = h.drained_s.map_or("never".to_string(), |r| {
+                format!("{:.0} / {:.0}", r.p50, r.p90)
+            });
+            let tasks = h.tasks.to_string();
+            vec![
+                h.host.clone(),
+                h.zone.clone(),
+                tasks,
+                drained,
+                percent(h.overdue),
+            ]
+        }),
+    ));
+    page.push_str("<h2>Jobs</h2>");
+    let head = [
+        "job",
+        "class",
+        "late because of it",
+        "late anyway",
+        "moved",
+        "waits",
+        "ends later, s",
+        "CPU s lost",
+    ];
+    page.push_str(&table(&head, plan.jobs.iter().take(ROWS).map(job_row)));
+    if plan.jobs.len() > ROWS {
+        let _ = write!(page, "<p>and {} more</p>", plan.jobs.len() - ROWS);
+    }
+    for (name, variants) in [
+        ("When to start", &plan.starts),
+        ("If something fails meanwhile", &plan.failures),
+    ] {
+        if !variants.is_empty() {
+            let _ = write!(page, "<h2>{name}</h2>");
+            page.push_str(&table(&VARIANT, variants.iter().map(variant_row)));
+        }
+    }
+    page.push_str("<h2>One run in pictures</h2><h3>The drained machines</h3>");
+    page.push_str("<p>Green ends by itself, red is moved or goes on; blue line: the drain begins, black: proven empty.</p>");
+    page.push_str(&timeline(plan));
+    page.push_str("<h3>Free capacity</h3>");
+    page.push_str(&capacity(plan));
+    page.push_str("<h3>Late jobs by class</h3><p>Blue without, red with the drain.</p>");
+    page.push_str(&lateness(plan));
+    page.push_str("</body></html>\n");
+    page
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod admin;
 pub mod cloud;
 pub mod job;
+pub mod roll;
 pub mod state;
 pub mod worker;
--- a/crates/world/src/controllers.rs
+++ b/crates/world/src/controllers.rs
@@ -13,6 +13,8 @@
     pub zone: String,
     pub front: SocketAddr,
     pub mesh: SocketAddr,
+    /// The operators' API.
+    pub admin: SocketAddr,
     pub state: SocketAddr,
 }
 
@@ -20,6 +22,7 @@
 pub struct Controller {
     program: PathBuf,
     settings: PathBuf,
+    policy: PathBuf,
     log: PathBuf,
     child: Option<Child>,
 }
@@ -103,9 +106,12 @@
     ) -> std::io::Result<Controller> {
         let path = dir.join(format!("{}.toml", places[at].name));
         std::fs::write(&path, settings(site, places, at, cloud))?;
+        let policy = dir.join(format!("{}.lexpr", places[at].name));
+        std::fs::write(&policy, format!("((admin \"{}\"))\n", places[at].admin))?;
         Ok(Controller {
             program: program.to_path_buf(),
             settings: path,
+            policy,
             log: dir.join(format!("{}.log", places[at].name)),
             child: None,
         })
@@ -120,6 +126,8 @@
         let child = Command::new(&self.program)
             .arg("--config")
             .arg(&self.settings)
+            .arg("--policy")
+            .arg(&self.policy)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
--- a/crates/world/src/main.rs
+++ b/crates/world/src/main.rs
@@ -283,6 +283,8 @@
         world.fronts.len()
     );
     println!("control http://{}", world.control);
+    let admins: Vec<String> = world.admins.iter().map(|a| a.to_string()).collect();
+    println!("operate export FOXSPUR_AT={}", admins.join(","));
     let outbox = Outbox::open(&dir.path().join("outbox"), true).map_err(|e| e.to_string())?;
     let settings = Settings::new([format!("http://{}", world.front)]);
     let client = Client::with_outbox(settings, outbox).map_err(|e| e.to_string())?;
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -75,6 +75,8 @@
     /// The load balancer's address, and the controllers' own.
     pub front: SocketAddr,
     pub fronts: Vec<SocketAddr>,
+    /// Where the controllers answer operators.
+    pub admins: Vec<SocketAddr>,
     controllers: Arc<Mutex<Vec<Controller>>>,
 }
 
@@ -123,11 +125,13 @@
             let listener = free()?;
             // Their ports are found free and given up again for them.
             let (front, mesh) = (free()?.local_addr()?, free()?.local_addr()?);
+            let admin = free()?.local_addr()?;
             places.push(Place {
                 name: format!("berth-{n}"),
                 zone: site.zones[n % site.zones.len()].clone(),
                 front,
                 mesh,
+                admin,
                 state: listener.local_addr()?,
             });
             serve!(state.face(n), state::routes, [listener]);
@@ -169,6 +173,7 @@
             control: control_addr,
             front,
             fronts,
+            admins: places.iter().map(|p| p.admin).collect(),
             controllers: Arc::new(Mutex::new(controllers)),
         };
         Ok(world)
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -4,6 +4,7 @@
 
 mod metrics;
 pub mod orders;
+pub mod rolls;
 
 use crate::coordination::core::Core;
 use crate::coordination::node::Node;
@@ -235,6 +236,9 @@
         .route("/admin/v1/waits", web::get().to(waits))
         .route("/admin/v1/drains", by_topic(Topic::Drains))
         .route("/admin/v1/drains", web::post().to(orders::drain))
+        .route("/admin/v1/rolls", web::get().to(rolls::list))
+        .route("/admin/v1/rolls", web::post().to(rolls::start))
+        .route("/admin/v1/rolls/turn", web::post().to(rolls::change))
         .route("/admin/v1/undrain", web::post().to(orders::undrain));
     listen::serve(app, addr, CONNECTIONS).await
 }
--- a/src/admin/orders.rs
+++ b/src/admin/orders.rs
@@ -24,7 +24,7 @@
 /// Longest time to a deadline, in seconds: a month.
 const LONGEST_S: f64 = 31.0 * 86_400.0;
 /// Tries against changes by others: the share changes hands, drains end.
-const TRIES: usize = 4;
+pub(super) const TRIES: usize = 4;
 
 /// Why an order was not carried out.
 #[derive(Debug, PartialEq)]
@@ -40,7 +40,7 @@
 }
 
 impl Refused {
-    fn response(&self) -> HttpResponse {
+    pub(super) fn response(&self) -> HttpResponse {
         match self {
             Refused::Field(field, why) => problem(400, Some(field), &format!("{field}: {why}")),
             Refused::Unknown(why) => problem(404, Some("hosts"), why),
@@ -51,13 +51,13 @@
 }
 
 /// The state service did not answer, so nothing is known.
-const NOT_NOW: Refused =
+pub(super) const NOT_NOW: Refused =
     Refused::Later("the state service does not answer now: nothing was ordered");
 /// It may have been written all the same.
-const UNSURE: Refused =
+pub(super) const UNSURE: Refused =
     Refused::Later("no answer from the state service: give the same order again to be sure");
 
-fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refused> {
+pub(super) fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refused> {
     let mut json = serde_json::Deserializer::from_slice(body);
     serde_path_to_error::deserialize(&mut json).map_err(|e| {
         let at = e.path().to_string();
@@ -70,7 +70,7 @@
     })
 }
 
-fn named(field: &'static str, text: &str) -> Result<(), Refused> {
+pub(super) fn named(field: &'static str, text: &str) -> Result<(), Refused> {
     if text.trim().is_empty() || text.len() > NAME || text.chars().any(char::is_control) {
         return Err(Refused::Field(field, "is empty or too long".into()));
     }
@@ -119,7 +119,7 @@
 }
 
 /// Version and term of the share's record.
-async fn share(node: &Node) -> Result<(u64, u64), Refused> {
+pub(super) async fn share(node: &Node) -> Result<(u64, u64), Refused> {
     let entry = node.state.get(records::SHARE, Lane::Data).await;
     let entry = entry.map_err(|_| NOT_NOW)?;
     let entry = entry.ok_or(Refused::Later("nobody has owned the share yet"))?;
--- a/src/coordination/member/mind.rs
+++ b/src/coordination/member/mind.rs
@@ -27,8 +27,8 @@
         seek_vouches(&node);
         seek_promises(&node);
         learn_quiet(&node);
-        take_drains(&node);
         note_drained(&node).await;
+        super::steps::carry_on(&node).await;
         while write_machines(&node).await {}
         raise_term(&node).await;
     }
--- a/src/coordination/member/mod.rs
+++ b/src/coordination/member/mod.rs
@@ -5,6 +5,7 @@
 mod claim;
 mod mind;
 mod record;
+mod steps;
 pub mod taking;
 pub mod tenure;
 pub mod view;
@@ -114,6 +115,7 @@
                             None => {}
                         }
                     }
+                    node.tenure.borrow_mut().view.reached(revision);
                     look_after_share(&node);
                 }
                 Err(Failure::Gone) => break,
@@ -174,6 +176,8 @@
         tracing::warn!("share lost: stepping down");
         step_down(node);
     }
+    // Only now: a drain that ended under a later owner frees nothing for us.
+    mind::take_drains(node);
     let (now, now_ms) = (node.now(), node.wall_ms());
     if node.claiming.get() {
         return;
--- a/src/coordination/member/view.rs
+++ b/src/coordination/member/view.rs
@@ -5,6 +5,7 @@
 
 use crate::protocol::admin::Drain;
 use crate::protocol::cloud::{MachineType, TypeList};
+use crate::protocol::roll::Roll;
 use crate::protocol::state::Entry;
 use crate::storage::records::{self, Alive, Share, Term};
 use std::collections::HashMap;
@@ -14,6 +15,8 @@
 pub struct View {
     /// It was read at least once.
     pub loaded: bool,
+    /// Revision up to which all changes are known.
+    pub revision: u64,
     pub share: Option<(Share, u64)>,
     pub term: (u64, u64),
     /// Controllers' alive keys: incarnation and version.
@@ -21,7 +24,9 @@
     pub types: Option<Vec<MachineType>>,
     /// Machines that operators set aside, each with its record's version.
     pub drains: HashMap<String, (Drain, u64)>,
-    /// Counts changes of these.
+    /// Rolls by name, each with its record's version.
+    pub rolls: HashMap<String, (Roll, u64)>,
+    /// Counts changes of drains.
     pub drains_seen: u64,
 }
 
@@ -50,6 +55,11 @@
             if let Ok(list) = entry.read::<TypeList>() {
                 self.types = Some(list.types);
             }
+        } else if entry.key.starts_with(records::ROLLS) {
+            // One that cannot be read is left to who wrote it.
+            if let Ok(roll) = entry.read::<Roll>() {
+                self.see_roll(roll, entry.version);
+            }
         } else if let Some(host) = entry.key.strip_prefix(records::DRAINS) {
             self.see_drain(host, entry);
         } else if let Some(host) = entry.key.strip_prefix(&records::alive("")) {
@@ -74,6 +84,14 @@
         self.drains_seen += 1;
     }
 
+    /// A roll at this version.
+    pub fn see_roll(&mut self, roll: Roll, version: u64) {
+        let known = self.rolls.get(&roll.name).map_or(0, |(_, v)| *v);
+        if version >= known {
+            self.rolls.insert(roll.name.clone(), (roll, version));
+        }
+    }
+
     /// The share record at this version.
     pub fn see_share(&mut self, share: Share, version: u64) {
         let known = self.share.as_ref().map_or(0, |(_, v)| *v);
@@ -86,8 +104,10 @@
     /// then. What is known from later stays.
     pub fn take_list(&mut self, entries: &[Entry], revision: u64) {
         self.alive.retain(|_, (_, version)| *version > revision);
+        self.rolls.retain(|_, (_, version)| *version > revision);
         self.take_drains(entries, revision);
         self.loaded = true;
+        self.reached(revision);
     }
 
     /// Takes in all drains as of `revision`; what is known from later stays.
@@ -99,9 +119,18 @@
         }
     }
 
+    /// All changes up to this revision are known.
+    pub fn reached(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
     /// A key of the area was deleted.
     pub fn take_deletion(&mut self, key: &str, version: u64) {
-        if let Some(host) = key.strip_prefix(records::DRAINS) {
+        if let Some(name) = key.strip_prefix(records::ROLLS) {
+            if self.rolls.get(name).is_some_and(|r| r.1 <= version) {
+                self.rolls.remove(name);
+            }
+        } else if let Some(host) = key.strip_prefix(records::DRAINS) {
             if self.drains.get(host).is_some_and(|d| d.1 <= version) {
                 self.drains.remove(host);
                 self.drains_seen += 1;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -21,6 +21,7 @@
 pub mod queue;
 pub mod quota;
 pub mod reach;
+pub mod rolls;
 pub mod room;
 pub mod sessions;
 pub mod snapshot;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -86,6 +86,8 @@
     /// Versions of drains that we recorded as carried out and the watch has not
     /// shown yet.
     pub noted: RefCell<Vec<u64>>,
+    /// Revision of the last step of a roll that we wrote.
+    pub rolled: Cell<u64>,
     /// How long submissions took until they were accepted, in milliseconds.
     pub accept_ms: RefCell<Option<Histogram<u32>>>,
     /// What operators were told of the owner's share, for when it is away.
@@ -126,6 +128,7 @@
             calls: Cell::new(0),
             drains_taken: Cell::default(),
             noted: RefCell::default(),
+            rolled: Cell::default(),
             accept_ms: RefCell::new(Histogram::new_with_bounds(1, 600_000, 2).ok()),
             told: RefCell::default(),
             turned_away: RefCell::default(),
--- a/src/coordination/snapshot.rs
+++ b/src/coordination/snapshot.rs
@@ -4,6 +4,7 @@
 use super::core::{Core, Params};
 use super::fence::Fence;
 use super::machine::Standing;
+use crate::protocol::admin::Drain;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::job::JobSpec;
 use crate::protocol::policy::Policy;
@@ -30,8 +31,8 @@
 #[derive(Serialize, Deserialize, Debug, Clone, PartialEq)]
 pub struct SnapMachine {
     pub info: MachineInfo,
-    /// Tasks may start on it.
-    pub usable: bool,
+    /// Heard of lately, so that it is expected to go on.
+    pub alive: bool,
     pub session: u64,
     pub tasks: Vec<SnapTask>,
 }
@@ -39,7 +40,7 @@
 /// A live job.
 #[derive(Serialize, Deserialize, Debug, Clone, PartialEq)]
 pub struct SnapJob {
-    pub spec: Rc<JobSpec>,
+    pub spec: JobSpec,
     pub age_s: f64,
     /// Done tasks, as ranges.
     pub done: String,
@@ -72,6 +73,8 @@
     pub machines: Vec<SnapMachine>,
     pub jobs: Vec<SnapJob>,
     pub errors: Vec<ClassError>,
+    /// Drains that stand.
+    pub drains: Vec<Drain>,
 }
 
 impl Core {
@@ -88,14 +91,14 @@
             });
             SnapMachine {
                 info: m.info.clone(),
-                usable: self.usable(m, now),
+                alive: m.fenced && self.silence(m.heard, now) < self.params.silent_s(),
                 session: m.seen.0,
                 tasks: tasks.collect(),
             }
         });
         let jobs = self.jobs.values().filter(|j| !j.over);
         let jobs = jobs.map(|j| SnapJob {
-            spec: j.spec.clone(),
+            spec: (*j.spec).clone(),
             age_s: now - j.at,
             done: j.done.to_text(),
         });
@@ -125,11 +128,13 @@
             machines: machines.collect(),
             jobs: jobs.collect(),
             errors: errors.collect(),
+            drains: self.wishes.values().map(|w| w.drain.clone()).collect(),
         }
     }
 
     /// An owner that took over, at the time 0, a share in this state: with the
-    /// machines that tasks may be on in its record, and none heard of yet.
+    /// machines that go on in its record, and none heard of yet. Steady time is
+    /// the time of day, so that deadlines count from the snapshot.
     pub fn of_snapshot(snapshot: &Snapshot, seed: u64) -> Core {
         let params = Params {
             lease_s: snapshot.lease_s,
@@ -142,12 +147,12 @@
         let term = snapshot.term + 1;
         let mut core = Core::new(params, term, Fence::new(term, Some(0.0)), seed);
         core.set_types(&snapshot.types);
-        for machine in &snapshot.machines {
+        for machine in snapshot.machines.iter().filter(|m| m.alive) {
             core.inherit(machine.info.clone(), 0.0);
         }
         for job in &snapshot.jobs {
             let record = LiveJob {
-                spec: job.spec.clone(),
+                spec: Rc::new(job.spec.clone()),
                 at_ms: 0,
                 done: job.done.clone(),
             };
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -5,7 +5,7 @@
 //! What others exchange with controllers is in `foxspur-wire`, for clients and
 //! stand-ins use the same definitions; what controllers alone read is here.
 
-pub use foxspur_wire::{admin, cloud, job, state, worker};
+pub use foxspur_wire::{admin, cloud, job, roll, state, worker};
 
 pub mod mesh;
 pub mod policy;
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -44,6 +44,12 @@
 pub fn drain(host: &str) -> String {
     format!("{DRAINS}{host}")
 }
+/// Machines that are drained one after the other.
+pub const ROLLS: &str = "fx/a/roll/";
+/// Key of a roll.
+pub fn roll(name: &str) -> String {
+    format!("{ROLLS}{name}")
+}
 /// Largest transaction, by the protocol.
 pub const TXN_BYTES: usize = 64 * 1024;
 
--- /dev/null
+++ b/tests/drains.rs
@@ -0,0 +1,772 @@
+//! Drains and rolls: tables of cases for the pure decisions, and the owner's core
+//! with machines that are set aside.
+
+mod common;
+
+use common::*;
+use foxspur::admin::orders::{check, Refused};
+use foxspur::admin::rolls;
+use foxspur::coordination::core::Core;
+use foxspur::coordination::drains::{verdict, Look, Verdict};
+use foxspur::coordination::rolls::{in_turn, step, Scene};
+use foxspur::coordination::sessions::Answer;
+use foxspur::protocol::admin::{Drain, DrainOrder, DrainState, Drained, Proof, Rest};
+use foxspur::protocol::job::{Shape, Urgency};
+use foxspur::protocol::roll::{
+    Among, AtMost, Promise, Roll, RollOrder, RollState, Turn, TurnOrder,
+};
+use foxspur::protocol::worker::{Cause, Command, Phase};
+use std::collections::HashMap;
+
+fn drain(host: &str, deadline_s: Option<f64>, rest: Rest) -> Drain {
+    Drain {
+        host: host.into(),
+        order: "o".into(),
+        by: "someone".into(),
+        why: "a new kernel".into(),
+        at_ms: 0,
+        deadline_ms: deadline_s.map(|s| (s * 1000.0) as u64),
+        rest,
+        drained: None,
+        roll: None,
+    }
+}
+
+fn wanted(drains: &[Drain]) -> HashMap<String, (Drain, u64)> {
+    let each = drains.iter().map(|d| (d.host.clone(), (d.clone(), 1)));
+    each.collect()
+}
+
+/// A core whose machines have all reported under its term.
+fn ready(machines: &[&str]) -> Core {
+    let mut core = core(vec![team("t", 0.0, 0.0)], 5, machines);
+    for id in machines {
+        core.hello(&report(id, 1, 1, 5, &[]), 0.1);
+    }
+    core
+}
+
+fn told(answer: Answer) -> Vec<Command> {
+    match answer {
+        Answer::Orders(reply) => reply.commands,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against work that is stopped for nothing, or kept although the
+/// operator said otherwise.
+#[test]
+fn what_becomes_of_an_attempt() {
+    let plain = Look {
+        endless: false,
+        ran_s: 40.0,
+        predicted_s: 100.0,
+        loss: (80.0, 0.0),
+        again_s: 101.0,
+        due_s: [None, None],
+        left_s: None,
+        rest: Rest::Leave,
+        elsewhere: (true, true),
+    };
+    let short = Some(30.0);
+    let moves = Verdict::Moves {
+        lost: 80.0,
+        grace_s: 0.0,
+    };
+    let cases = [
+        ("no deadline", plain, Verdict::Finishes),
+        (
+            "in time",
+            Look {
+                left_s: Some(60.0),
+                ..plain
+            },
+            Verdict::Finishes,
+        ),
+        (
+            "not in time",
+            Look {
+                left_s: short,
+                ..plain
+            },
+            moves,
+        ),
+        (
+            "outran its prediction, so as long again",
+            Look {
+                ran_s: 110.0,
+                left_s: Some(100.0),
+                ..plain
+            },
+            moves,
+        ),
+        (
+            "a replica",
+            Look {
+                endless: true,
+                ..plain
+            },
+            moves,
+        ),
+        (
+            "would be late elsewhere",
+            Look {
+                left_s: short,
+                due_s: [Some(90.0), None],
+                ..plain
+            },
+            Verdict::Stays("would miss its deadline elsewhere"),
+        ),
+        (
+            "one aim is lost either way, the other only elsewhere",
+            Look {
+                left_s: short,
+                due_s: [Some(50.0), Some(95.0)],
+                ..plain
+            },
+            Verdict::Stays("would miss its deadline elsewhere"),
+        ),
+        (
+            "late anyway",
+            Look {
+                left_s: short,
+                due_s: [Some(50.0), None],
+                ..plain
+            },
+            moves,
+        ),
+        (
+            "nothing else may run it",
+            Look {
+                left_s: short,
+                elsewhere: (false, false),
+                ..plain
+            },
+            Verdict::Stays("no other machine may run it"),
+        ),
+        (
+            "no room now",
+            Look {
+                left_s: short,
+                elsewhere: (true, false),
+                ..plain
+            },
+            Verdict::Stays("waits for room elsewhere"),
+        ),
+        (
+            "over, and it may stay",
+            Look {
+                left_s: Some(0.0),
+                elsewhere: (false, false),
+                ..plain
+            },
+            Verdict::Stays("no other machine may run it"),
+        ),
+        (
+            "over, and it is to stop",
+            Look {
+                left_s: Some(0.0),
+                rest: Rest::Stop,
+                elsewhere: (false, false),
+                ..plain
+            },
+            moves,
+        ),
+    ];
+    for (name, look, expected) in cases {
+        assert_eq!(verdict(&look), expected, "{name}");
+    }
+}
+
+/// Guards against a machine that gets work after its drain, and against one that
+/// is called drained before it is proven: while a task runs, while its end is not
+/// in the books, while a start is under way.
+#[test]
+fn drained_only_by_proof() {
+    let mut core = ready(&["m-0", "m-1"]);
+    add(
+        &mut core,
+        spec("run-1", "t", Urgency::Standard, 16, 1.0),
+        0.0,
+    );
+    core.place(0.2);
+    let run: Vec<String> = told(core.hello(&report("m-0", 1, 2, 5, &[]), 0.3))
+        .iter()
+        .filter_map(|c| match c {
+            Command::Start { task, .. } => Some(task.clone()),
+            _ => None,
+        })
+        .collect();
+    assert!(run.len() >= 2, "{run:?}");
+    let attempt = |core: &Core, task: &str| {
+        let active = &core.machines["m-0"].active;
+        active.keys().find(|k| k.0.wire() == task).unwrap().1
+    };
+    core.set_drains(&wanted(&[drain("m-0", None, Rest::Leave)]));
+    assert!(
+        core.machines["m-0"].queue.is_empty(),
+        "its queue is drawn again"
+    );
+    // One was started, the others never were: they must not come later.
+    let one = (run[0].as_str(), attempt(&core, &run[0]));
+    let shown = |phase, cause| [(one.0, one.1, phase, cause)];
+    let running = shown(Phase::Running, None);
+    core.hello(&report("m-0", 1, 3, 5, &running), 1.0);
+    core.place(1.1);
+    assert_eq!(core.machines["m-0"].holding().count(), 1);
+    assert!(core.drains_proven(0, 9).is_empty(), "a task runs");
+    let done = shown(Phase::Exited, Some(Cause::Done));
+    core.hello(&report("m-0", 1, 4, 5, &done), 2.0);
+    assert!(
+        core.drains_proven(0, 9).is_empty(),
+        "its end is not in the books"
+    );
+    let marks = core.jobs["run-1"].done.clone();
+    core.marks_written("run-1", &marks, 2);
+    let told = told(core.hello(&report("m-0", 1, 5, 5, &done), 3.0));
+    assert!(matches!(told[..], [Command::Forget { .. }]), "{told:?}");
+    core.hello(&report("m-0", 1, 6, 5, &[]), 4.0);
+    core.place(4.1);
+    let proven = core.drains_proven(9000, 9);
+    let proof = Drained {
+        at_ms: 9000,
+        term: 5,
+        proof: Proof::Reported,
+        session: 1,
+    };
+    assert_eq!(proven.len(), 1);
+    assert_eq!(proven[0].0.drained, Some(proof));
+    let known = HashMap::from([("m-0".to_string(), (proven[0].0.clone(), 2))]);
+    core.set_drains(&known);
+    assert_eq!(core.drain_rows(5.0)[0].state, DrainState::Drained);
+    // Back in use: it takes tasks again.
+    core.set_drains(&HashMap::new());
+    core.hello(&report("m-0", 1, 7, 5, &[]), 5.0);
+    core.place(5.1);
+    assert!(core.machines["m-0"].holding().count() > 0);
+}
+
+/// The wish's second case: a drained machine's job ends after it was started
+/// elsewhere. The fence decides: it starts elsewhere only when its machine is
+/// proven empty, and what that one says later changes nothing.
+#[test]
+fn a_job_that_ends_after_it_was_started_elsewhere() {
+    let mut core = ready(&["m-0", "m-1"]);
+    add(
+        &mut core,
+        spec("run-1", "t", Urgency::Standard, 1, 8.0),
+        0.0,
+    );
+    core.place(0.2);
+    let (host, attempt) = core.jobs["run-1"].on[&0].clone();
+    let other = if &*host == "m-0" { "m-1" } else { "m-0" };
+    let running = [("run-1/0", attempt, Phase::Running, None)];
+    core.hello(&report(&host, 1, 2, 5, &running), 0.5);
+    core.set_drains(&wanted(&[drain(&host, Some(1.0), Rest::Stop)]));
+    // It hangs: the stop is sent, no answer comes.
+    for n in 0..9 {
+        let now = 1.5 + f64::from(n);
+        core.hello(&report(other, 1, 2 + n as u64, 5, &[]), now);
+        core.tick(now, now);
+        core.place(now);
+        assert_eq!(
+            *core.jobs["run-1"].on[&0].0, *host,
+            "not elsewhere at {now}"
+        );
+        assert!(core.drains_proven(0, 9).is_empty());
+    }
+    core.hello(&report(other, 1, 20, 5, &[]), 12.0);
+    core.tick(12.0, 12.0);
+    core.place(12.0);
+    assert_eq!(*core.jobs["run-1"].on[&0].0, *other);
+    assert_eq!(
+        core.drains_proven(0, 9)[0]
+            .0
+            .drained
+            .as_ref()
+            .unwrap()
+            .proof,
+        Proof::LeaseOver
+    );
+    // It wakes with the same session and says that it is done.
+    let done = [("run-1/0", attempt, Phase::Exited, Some(Cause::Done))];
+    let late = core.hello(&report(&host, 1, 3, 5, &done), 12.5);
+    assert!(matches!(late, Answer::Refuse), "{late:?}");
+    assert!(core.jobs["run-1"].done.is_empty());
+    let second = core.jobs["run-1"].on[&0].1;
+    assert!(second > attempt);
+    let done = [("run-1/0", second, Phase::Exited, Some(Cause::Done))];
+    core.hello(&report(other, 1, 21, 5, &done), 13.0);
+    assert_eq!(core.jobs["run-1"].done.len(), 1);
+}
+
+/// Guards against a takeover that waits for a machine that was switched off after
+/// it was drained, and against one that does not wait for a drain under way.
+#[test]
+fn a_takeover_knows_the_drains() {
+    for (proven, opens) in [(true, true), (false, false)] {
+        let mut core = Core::new(
+            params(vec![team("t", 0.0, 0.0)]),
+            6,
+            foxspur::coordination::fence::Fence::new(6, Some(0.0)),
+            7,
+        );
+        core.set_types(&types());
+        let mut aside = drain("m-1", None, Rest::Leave);
+        aside.drained = proven.then_some(Drained {
+            at_ms: 0,
+            term: 5,
+            proof: Proof::Reported,
+            session: 1,
+        });
+        core.set_drains(&wanted(&[aside]));
+        for id in ["m-0", "m-1"] {
+            core.inherit(machine(id, "a", false), 0.0);
+        }
+        add(
+            &mut core,
+            spec("run-1", "t", Urgency::Standard, 4, 8.0),
+            0.0,
+        );
+        core.hello(&report("m-0", 1, 1, 6, &[]), 0.5);
+        core.place(0.6);
+        assert_eq!(core.fence.open, opens, "proven: {proven}");
+        // Silent for long: not given back as long as its drain stands.
+        for n in 2..9 {
+            core.hello(&report("m-0", 1, n, 6, &[]), n as f64);
+            core.tick(n as f64, n as f64);
+        }
+        assert_eq!(core.given_up(8.0).contains(&"m-1".to_string()), !proven);
+        core.hello(&report("m-1", 1, 1, 6, &[]), 9.5);
+        core.hello(&report("m-0", 1, 9, 6, &[]), 9.5);
+        core.place(9.6);
+        assert!(core.fence.open);
+        assert!(
+            core.machines["m-1"].active.is_empty(),
+            "set aside from the start"
+        );
+    }
+}
+
+/// Guards against drains that stop what they should not: of all machines, of one
+/// with a replica, with a notice, while another one fails.
+#[test]
+fn drains_at_their_limits() {
+    let mut core = ready(&["m-0", "m-1"]);
+    let mut service = spec("run-1", "t", Urgency::Prod, 1, 2.0);
+    service.shape = Shape::Service;
+    service.estimate_s = 0.0;
+    add(&mut core, service, 0.0);
+    core.place(0.2);
+    let (host, attempt) = core.jobs["run-1"].on[&0].clone();
+    let other = if &*host == "m-0" { "m-1" } else { "m-0" };
+    let running = [("run-1/0", attempt, Phase::Running, None)];
+    core.hello(&report(&host, 1, 2, 5, &running), 0.5);
+    // Everything is drained: the replica has nowhere to go and stays.
+    let all = wanted(&[
+        drain("m-0", None, Rest::Leave),
+        drain("m-1", None, Rest::Leave),
+    ]);
+    core.set_drains(&all);
+    core.tick(1.0, 1.0);
+    let row = core
+        .drain_rows(1.0)
+        .into_iter()
+        .find(|r| r.drain.host == *host);
+    let row = row.unwrap();
+    assert_eq!((row.state, row.tasks), (DrainState::Draining, 1));
+    assert!(
+        row.stays.contains("no other machine may run it"),
+        "{}",
+        row.stays
+    );
+    add(
+        &mut core,
+        spec("run-2", "t", Urgency::Standard, 1, 1.0),
+        1.0,
+    );
+    core.place(1.1);
+    let why = core
+        .job_rows(1.2, 9)
+        .rows
+        .iter()
+        .find(|j| j.id == "run-2")
+        .unwrap()
+        .why
+        .clone();
+    assert_eq!(why, "every machine that it may use is drained");
+    // The other one is back: the replica moves, and starts there only after it is
+    // gone from here. A notice of the cloud meanwhile changes nothing.
+    core.set_drains(&wanted(&[drain(&host, None, Rest::Leave)]));
+    core.hello(&report(other, 1, 2, 5, &[]), 1.5);
+    core.place(1.6);
+    core.tick(1.7, 1.7);
+    let mut noticed = report(&host, 1, 3, 5, &running);
+    noticed.notice_s = Some(30.0);
+    let told = told(core.hello(&noticed, 2.0));
+    assert!(matches!(told[..], [Command::Stop { .. }]), "{told:?}");
+    assert_eq!(*core.jobs["run-1"].on[&0].0, *host);
+    let stopped = [("run-1/0", attempt, Phase::Exited, Some(Cause::Stopped))];
+    core.hello(&report(&host, 1, 4, 5, &stopped), 2.5);
+    core.place(2.6);
+    assert_eq!(*core.jobs["run-1"].on[&0].0, *other);
+    // The cloud takes the drained machine away: its drain says so.
+    core.machine_gone(&host);
+    assert_eq!(core.drain_rows(3.0)[0].state, DrainState::Gone);
+    // Undrained while something moves, then the second one fails: what it had is
+    // on until the lease is over, as ever.
+    core.set_drains(&HashMap::new());
+    core.tick(13.0, 13.0);
+    core.place(13.1);
+    assert!(core.jobs["run-1"].on.is_empty());
+}
+
+/// Guards against orders that are taken although they make no sense; the answer
+/// names the field.
+#[test]
+fn orders_are_checked() {
+    let plain = DrainOrder {
+        order: "o-1".into(),
+        hosts: vec!["m-0".into()],
+        by: "someone".into(),
+        why: "a new kernel".into(),
+        deadline_s: None,
+        rest: Rest::Leave,
+        term: None,
+    };
+    assert!(check(&plain).is_ok());
+    type Spoil = fn(&mut DrainOrder);
+    let cases: [(&str, Spoil); 8] = [
+        ("order", |o| o.order = String::new()),
+        ("by", |o| o.by = " ".into()),
+        ("why", |o| o.why = String::new()),
+        ("deadline_s", |o| o.deadline_s = Some(0.0)),
+        ("deadline_s", |o| o.deadline_s = Some(f64::NAN)),
+        ("hosts", |o| o.hosts.clear()),
+        ("hosts", |o| o.hosts = vec!["a b".into()]),
+        ("hosts", |o| o.hosts = vec!["../share/0".into()]),
+    ];
+    for (field, spoil) in cases {
+        let mut order = plain.clone();
+        spoil(&mut order);
+        match check(&order) {
+            Err(Refused::Field(named, _)) => assert_eq!(named, field),
+            other => panic!("{field}: {other:?}"),
+        }
+    }
+    let roll = RollOrder {
+        name: "kernel".into(),
+        by: "someone".into(),
+        why: "a new kernel".into(),
+        among: Among {
+            zone: Some("a".into()),
+            ..Among::default()
+        },
+        at_most: AtMost::Machines(1),
+        rest: Rest::Leave,
+        deadline_s: None,
+        promise: Promise::default(),
+    };
+    assert!(rolls::check(&roll).is_ok());
+    type SpoilRoll = fn(&mut RollOrder);
+    let cases: [(&str, SpoilRoll); 5] = [
+        ("name", |o| o.name = "a/b".into()),
+        ("at_most", |o| o.at_most = AtMost::Machines(0)),
+        ("at_most", |o| o.at_most = AtMost::Share(1.5)),
+        ("promise.step_s", |o| o.promise.step_s = Some(-1.0)),
+        ("among", |o| o.among = Among::default()),
+    ];
+    for (field, spoil) in cases {
+        let mut order = roll.clone();
+        spoil(&mut order);
+        match rolls::check(&order) {
+            Err(Refused::Field(named, _)) => assert_eq!(named, field),
+            other => panic!("{field}: {other:?}"),
+        }
+    }
+}
+
+fn roll(hosts: &[&str], at_most: AtMost) -> Roll {
+    Roll {
+        name: "kernel".into(),
+        by: "someone".into(),
+        why: "a new kernel".into(),
+        at_ms: 0,
+        hosts: hosts.iter().map(|h| h.to_string()).collect(),
+        at_most,
+        rest: Rest::Leave,
+        deadline_s: None,
+        promise: Promise {
+            late: 1,
+            step_s: Some(60.0),
+            back_s: Some(300.0),
+        },
+        state: RollState::Running,
+        reason: String::new(),
+        next: 0,
+        late_before: None,
+    }
+}
+
+/// Six machines, three in each zone, of which so many are out of use.
+fn scene(out: (u32, u32)) -> Scene {
+    let zone = |n: usize| if n < 3 { "a" } else { "b" };
+    Scene {
+        now_ms: 100_000,
+        zones: (0..6)
+            .map(|n| (format!("m-{n}"), zone(n).to_string()))
+            .collect(),
+        counts: HashMap::from([("a".into(), (3, out.0)), ("b".into(), (3, out.1))]),
+        ..Scene::default()
+    }
+}
+
+/// Guards against a roll that takes more of a zone than it may, goes on although
+/// its promise is broken, or never ends.
+#[test]
+fn a_roll_step_by_step() {
+    let hosts = ["m-0", "m-3", "m-1", "m-4"];
+    let own = |host: &str, at_ms: u64, drained_ms: Option<u64>| {
+        let drained = drained_ms.map(|at_ms| Drained {
+            at_ms,
+            term: 5,
+            proof: Proof::Reported,
+            session: 1,
+        });
+        let drain = Drain {
+            at_ms,
+            drained,
+            roll: Some("kernel".into()),
+            ..drain(host, None, Rest::Leave)
+        };
+        (host.to_string(), (drain, 3))
+    };
+    type Change = fn(&mut Roll, &mut Scene);
+    type Case<'a> = (
+        &'a str,
+        (u32, u32),
+        Vec<(String, (Drain, u64))>,
+        Change,
+        &'a [&'a str],
+        &'a [&'a str],
+        RollState,
+    );
+    use RollState::{Back, Done, Halted, Running};
+    let cases: Vec<Case> = vec![
+        (
+            "one of each zone",
+            (0, 0),
+            vec![],
+            |_, _| {},
+            &["m-0", "m-3"],
+            &[],
+            Running,
+        ),
+        (
+            "a zone has one out already",
+            (1, 0),
+            vec![],
+            |_, _| {},
+            &[],
+            &[],
+            Running,
+        ),
+        (
+            "two of each",
+            (0, 0),
+            vec![],
+            |r, _| r.at_most = AtMost::Machines(2),
+            &["m-0", "m-3", "m-1", "m-4"],
+            &[],
+            Running,
+        ),
+        (
+            "two thirds of each",
+            (0, 0),
+            vec![],
+            |r, _| r.at_most = AtMost::Share(0.67),
+            &["m-0", "m-3", "m-1", "m-4"],
+            &[],
+            Running,
+        ),
+        (
+            "a share below one",
+            (0, 0),
+            vec![],
+            |r, _| r.at_most = AtMost::Share(0.01),
+            &["m-0", "m-3"],
+            &[],
+            Running,
+        ),
+        (
+            "drained, not back yet",
+            (1, 1),
+            vec![own("m-0", 90_000, Some(95_000))],
+            |r, _| r.next = 2,
+            &[],
+            &[],
+            Running,
+        ),
+        (
+            "back",
+            (1, 1),
+            vec![own("m-0", 90_000, Some(95_000))],
+            |r, s| {
+                r.next = 2;
+                s.back = vec!["m-0".into()];
+            },
+            &[],
+            &["m-0"],
+            Running,
+        ),
+        (
+            "the cloud took it",
+            (0, 1),
+            vec![own("m-0", 90_000, None)],
+            |r, s| {
+                r.next = 2;
+                s.zones.remove("m-0");
+            },
+            &["m-1"],
+            &["m-0"],
+            Running,
+        ),
+        (
+            "not drained in time",
+            (1, 0),
+            vec![own("m-0", 39_000, None)],
+            |r, _| r.next = 1,
+            &[],
+            &[],
+            Halted,
+        ),
+        (
+            "not back in time",
+            (1, 0),
+            vec![own("m-0", 0, Some(0))],
+            |r, s| {
+                r.next = 1;
+                s.now_ms = 400_000;
+            },
+            &[],
+            &[],
+            Halted,
+        ),
+        (
+            "more late than promised",
+            (0, 0),
+            vec![],
+            |r, s| {
+                r.late_before = Some(2);
+                s.late = 4;
+            },
+            &[],
+            &[],
+            Halted,
+        ),
+        (
+            "as late as promised",
+            (0, 0),
+            vec![],
+            |r, s| {
+                r.late_before = Some(2);
+                s.late = 3;
+            },
+            &["m-0", "m-3"],
+            &[],
+            Running,
+        ),
+        (
+            "the last one is back",
+            (0, 1),
+            vec![own("m-4", 90_000, Some(95_000))],
+            |r, s| {
+                r.next = 4;
+                s.back = vec!["m-4".into()];
+            },
+            &[],
+            &["m-4"],
+            Done,
+        ),
+        (
+            "taken back",
+            (1, 1),
+            vec![own("m-0", 0, None), own("m-3", 0, Some(1))],
+            |r, _| r.state = Back,
+            &[],
+            &["m-0", "m-3"],
+            Back,
+        ),
+        (
+            "taken back, all ended",
+            (0, 0),
+            vec![],
+            |r, _| r.state = Back,
+            &[],
+            &[],
+            Done,
+        ),
+    ];
+    for (name, out, drains, change, begin, end, state) in cases {
+        let (mut roll, mut scene) = (roll(&hosts, AtMost::Machines(1)), scene(out));
+        scene.drains = drains.into_iter().collect();
+        change(&mut roll, &mut scene);
+        match step(&roll, &scene, 20) {
+            Some(next) => {
+                assert_eq!(next.begin, begin, "{name}");
+                assert_eq!(next.end, end, "{name}");
+                assert_eq!(next.roll.state, state, "{name}: {}", next.roll.reason);
+                assert_eq!(next.roll.reason.is_empty(), state != Halted, "{name}");
+            }
+            None => assert!(
+                begin.is_empty() && end.is_empty() && state == roll.state,
+                "{name}"
+            ),
+        }
+    }
+    // Halted or done: nothing, whatever happens.
+    for state in [Halted, Done] {
+        let roll = Roll {
+            state,
+            ..roll(&hosts, AtMost::Machines(1))
+        };
+        assert_eq!(step(&roll, &scene((0, 0)), 20), None);
+    }
+    // Zone after zone in turn.
+    let machines = [("m-1", "a"), ("m-0", "a"), ("m-5", "b")].map(|(m, z)| (m.into(), z.into()));
+    assert_eq!(in_turn(&machines), ["m-0", "m-5", "m-1"]);
+}
+
+/// Guards against a roll that an order leaves in a state that cannot be.
+#[test]
+fn turns_of_a_roll() {
+    use RollState::{Back, Done, Halted, Running};
+    let cases = [
+        (Turn::Halt, Running, Some(Halted)),
+        (Turn::Halt, Halted, None),
+        (Turn::Resume, Halted, Some(Running)),
+        (Turn::Resume, Done, None),
+        (Turn::Back, Running, Some(Back)),
+        (Turn::Back, Halted, Some(Back)),
+        (Turn::Back, Done, None),
+        (Turn::Forget, Running, None),
+    ];
+    for (turn, state, expected) in cases {
+        let order = TurnOrder {
+            name: "kernel".into(),
+            by: "someone".into(),
+            turn,
+        };
+        let roll = Roll {
+            state,
+            late_before: Some(3),
+            ..roll(&["m-0"], AtMost::Machines(1))
+        };
+        let next = rolls::turned(&roll, &order);
+        match (next, expected) {
+            (Ok(Some(next)), Some(state)) => assert_eq!(next.state, state),
+            (Err(Refused::Against(_)), None) => {}
+            (next, _) => panic!("{turn:?} of {state:?}: {next:?}"),
+        }
+    }
+}
