--- a/crates/ctl/src/watch.rs
+++ b/crates/ctl/src/watch.rs
@@ -204,7 +204,8 @@
 /// Draws the whole screen.
 pub fn draw(frame: &mut Frame, screen: &Screen) {
     let teams = screen.teams.as_ref().map_or(0, |t| t.data.len()) as u16;
-    let below = (teams + 2).clamp(6, frame.area().height / 2);
+    // A terminal of a few lines keeps at least its jobs.
+    let below = (teams + 2).max(6).min(frame.area().height / 2);
     let [top, jobs, bottom] = Layout::vertical([
         Constraint::Length(1),
         Constraint::Fill(1),
--- a/crates/ctl/tests/view.rs
+++ b/crates/ctl/tests/view.rs
@@ -131,6 +131,11 @@
 }
 
 fn shown(screen: &Screen) -> String {
+    // The smallest terminals must do no harm.
+    for (width, height) in [(0, 0), (1, 1), (20, 5)] {
+        let mut small = Terminal::new(TestBackend::new(width, height)).unwrap();
+        small.draw(|frame| draw(frame, screen)).unwrap();
+    }
     let mut terminal = Terminal::new(TestBackend::new(120, 20)).unwrap();
     terminal.draw(|frame| draw(frame, screen)).unwrap();
     let buffer = terminal.backend().buffer().clone();
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -89,6 +89,7 @@
                 let mut script = Script {
                     drains: Vec::new(),
                     deaths: deaths(seed),
+                    arrivals: Vec::new(),
                     horizon_s: self.options.horizon_s,
                 };
                 let without = seen(self.snapshot, &script, seed);
--- a/crates/plan/src/sim.rs
+++ b/crates/plan/src/sim.rs
@@ -8,6 +8,9 @@
 use foxspur::coordination::sessions::{Answer, CallResult};
 use foxspur::coordination::snapshot::Snapshot;
 use foxspur::protocol::admin::Drain;
+use foxspur::protocol::job::JobSpec;
+use foxspur::storage::marks::Marks;
+use foxspur::storage::records::LiveJob;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::rc::Rc;
@@ -19,6 +22,8 @@
     pub drains: Vec<(f64, Drain)>,
     /// Machines that die, and when.
     pub deaths: Vec<(f64, String)>,
+    /// Jobs that arrive, and when.
+    pub arrivals: Vec<(f64, JobSpec)>,
     pub horizon_s: f64,
 }
 
@@ -151,6 +156,22 @@
     /// What the script says for the time until now.
     fn script(&mut self, from: f64, now: f64) {
         let due = |at: f64| from <= at && at < now;
+        for (at, spec) in self.script.arrivals.iter().filter(|a| due(a.0)) {
+            let spec = Rc::new(spec.clone());
+            self.version += 1;
+            let record = LiveJob {
+                spec: spec.clone(),
+                at_ms: (at * 1000.0) as u64,
+                done: String::new(),
+            };
+            self.core.job_added(record, self.version, Marks::default());
+            let known = self.core.jobs.get(spec.id.as_str());
+            let facts = JobFacts {
+                predicted_s: known.map_or(0.0, |known| self.core.predict(known)),
+                spec: spec.clone(),
+            };
+            self.book.jobs.insert(spec.id.clone(), facts);
+        }
         let mut news = false;
         for (_, drain) in self.script.drains.iter().filter(|d| due(d.0)) {
             self.version += 1;
