--- a/examples/owner.rs
+++ b/examples/owner.rs
@@ -9,9 +9,11 @@
 
 use clap::Parser;
 use common::{core, live, spec, team};
+use foxspur::admin::of_core;
 use foxspur::coordination::core::Core;
 use foxspur::coordination::sessions::{Answer, CallResult};
 use foxspur::protocol::job::Urgency;
+use foxspur::protocol::mesh::Topic;
 use foxspur::protocol::worker::{Command, Report, ReportHead};
 use foxspur::storage::marks::Marks;
 use rand::rngs::StdRng;
@@ -35,6 +37,9 @@
     /// Time of a takeover by a fresh owner, if any.
     #[arg(long)]
     takeover: Option<f64>,
+    /// Seconds between two looks of operators at jobs, teams, machines and drains.
+    #[arg(long)]
+    look: Option<f64>,
 }
 
 /// A worker with its tasks: when each ends.
@@ -127,6 +132,7 @@
             tasks: BTreeMap::new(),
         })
         .collect();
+    let (mut looked, mut looks_bytes) = (0.0, 0);
     let (mut reports, mut repeats, mut calls, mut done, mut jobs) = (0, 0, 0, 0, 0u32);
     let mut records = BTreeMap::new();
     let mut takeover = args.takeover;
@@ -160,6 +166,12 @@
             owner.probes(now, 64);
             owner.place(now);
         }
+        if args.look.is_some_and(|every| now - looked >= every) {
+            looked = now;
+            let topics = [Topic::Jobs(200), Topic::Teams, Topic::Fleet, Topic::Drains];
+            let looks = topics.iter().filter_map(|t| of_core(&owner, *t, now));
+            looks_bytes += looks.map(|l| l.len()).sum::<usize>();
+        }
         for name in owner.outbox.drain(..).collect::<Vec<_>>() {
             let Some((_, call)) = owner.direct_call(&name, now) else {
                 continue;
@@ -187,6 +199,9 @@
             }
         }
     }
+    if args.look.is_some() {
+        println!("looks: {looks_bytes} bytes");
+    }
     println!(
         "{reports} reports ({repeats} repeats), {calls} direct calls, {jobs} jobs, {done} done"
     );
