A job that workers do not know is named as that; wider job column

Cause: by hand, a stuck job said 'waits after a failure or a refused start' where its description was never uploaded, and the view cut job ids. Change: the refusal's cause is kept until a task runs and given as the reason.

--- a/crates/ctl/src/watch.rs
+++ b/crates/ctl/src/watch.rs
@@ -131,7 +131,7 @@
     let rows = rows.skip(screen.top).map(job_row);
     let widths = [
         Constraint::Length(8),
-        Constraint::Length(14),
+        Constraint::Length(24),
         Constraint::Length(16),
         Constraint::Length(14),
         Constraint::Length(6),
--- a/src/coordination/job.rs
+++ b/src/coordination/job.rs
@@ -81,6 +81,8 @@
     pub bound: BTreeMap<u32, Name>,
     /// Machines on which a task of this job failed.
     pub failed_on: Names,
+    /// Workers refused its last start since they do not know its description.
+    pub unknown: bool,
     /// Not before this time after failures.
     pub not_before: f64,
     /// Whether the job fits into its team's guarantee (see `quota`).
@@ -114,6 +116,7 @@
             copies: Vec::new(),
             bound: BTreeMap::new(),
             failed_on: Names::default(),
+            unknown: false,
             not_before: 0.0,
             guaranteed: false,
             pools: (u64::MAX, Rc::from([])),
@@ -135,6 +138,7 @@
 
     /// A task runs; whether it is the first one of the job.
     pub fn begin(&mut self) -> bool {
+        self.unknown = false;
         !std::mem::replace(&mut self.begun, true) && self.done.is_empty()
     }
 
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -426,6 +426,7 @@
             }
             Some(Cause::NoRoom | Cause::Busy | Cause::Unknown) => {
                 tracing::info!(task = %key.0.wire(), machine = %name, cause = ?cause, "start refused");
+                job.unknown = cause == Some(Cause::Unknown);
                 job.not_before = now + self.params.report_s / 2.0;
             }
             _ => {}
--- a/src/coordination/views.rs
+++ b/src/coordination/views.rs
@@ -41,6 +41,9 @@
         if job.lacking() == 0 {
             return "all tasks are on machines";
         }
+        if job.unknown {
+            return "workers do not know its description: was it uploaded?";
+        }
         if job.not_before > now {
             return "waits after a failure or a refused start";
         }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -403,14 +403,25 @@
     let mut elsewhere = spec("run-3", "u", Urgency::Standard, 1, 2.0);
     elsewhere.zone = Some("b".into());
     add(&mut core, elsewhere, 2.0);
+    add(
+        &mut core,
+        spec("run-4", "u", Urgency::Standard, 1, 2.0),
+        2.5,
+    );
     let started = starts(&orders(&mut core, &report("m1", 1, 2, 5, &[]), 3.0));
-    let running = [(started[0].0.as_str(), started[0].1, Phase::Running, None)];
-    orders(&mut core, &report("m1", 1, 3, 5, &running), 40.0);
+    let attempt = |job: &str| started.iter().find(|s| s.0 == job).unwrap().1;
+    let (first, fourth) = (attempt("run-1/0"), attempt("run-4/0"));
+    let shown = [
+        ("run-1/0", first, Phase::Running, None),
+        ("run-4/0", fourth, Phase::Exited, Some(Cause::Unknown)),
+    ];
+    orders(&mut core, &report("m1", 1, 3, 5, &shown), 40.0);
     let text = core.overview(40.0);
     for (job, state, why) in [
         ("run-1", "ok", "all tasks are on machines"),
         ("run-2", "STUCK", "its team is at its limit"),
         ("run-3", "STUCK", "no machine that it may use is up"),
+        ("run-4", "STUCK", "workers do not know its description"),
     ] {
         let line = text.lines().find(|l| l.contains(job)).unwrap_or_default();
         assert!(line.starts_with(state) && line.contains(why), "{text}");
