A list of drains older than what the watch told brings none back

Cause: found by reading: a takeover's list of drains, answered late, could put back one that had been ended since, for good. Change: a list older than the view is not taken in; a table of news in any order, and of a record that cannot be read. Result: the table fails without the guard.

--- a/src/coordination/member/view.rs
+++ b/src/coordination/member/view.rs
@@ -110,8 +110,12 @@
         self.reached(revision);
     }
 
-    /// Takes in all drains as of `revision`; what is known from later stays.
+    /// Takes in all drains as of `revision`. If we know of later changes there is
+    /// nothing to learn: one that was ended since would come back for good.
     pub fn take_drains(&mut self, entries: &[Entry], revision: u64) {
+        if revision < self.revision {
+            return;
+        }
         self.drains.retain(|_, (_, version)| *version > revision);
         self.drains_seen += 1;
         for entry in entries {
--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -8,6 +8,7 @@
 use foxspur::admin::rolls;
 use foxspur::coordination::core::Core;
 use foxspur::coordination::drains::{verdict, Look, Verdict};
+use foxspur::coordination::member::view::View;
 use foxspur::coordination::rolls::{in_turn, step, Scene};
 use foxspur::coordination::sessions::Answer;
 use foxspur::protocol::admin::{Drain, DrainOrder, DrainState, Drained, Proof, Rest};
@@ -15,7 +16,9 @@
 use foxspur::protocol::roll::{
     Among, AtMost, Promise, Roll, RollOrder, RollState, Turn, TurnOrder,
 };
+use foxspur::protocol::state::Entry;
 use foxspur::protocol::worker::{Cause, Command, Phase};
+use foxspur::storage::records;
 use std::collections::HashMap;
 
 fn drain(host: &str, deadline_s: Option<f64>, rest: Rest) -> Drain {
@@ -486,6 +489,79 @@
     }
 }
 
+/// Guards against drains that come back for good or are forgotten: a list that was
+/// read before the watch told of an end, a version that comes late.
+#[test]
+fn news_of_drains_in_any_order() {
+    let entry = |version: u64| Entry {
+        key: records::drain("m-0"),
+        value: serde_json::value::to_raw_value(&drain("m-0", None, Rest::Leave)).unwrap(),
+        version,
+    };
+    type Change = fn(&mut View, Entry, Entry);
+    let cases: [(&str, Change, Option<u64>); 6] = [
+        ("told once", |v, old, _| v.take_entry(&old), Some(3)),
+        (
+            "an old version late",
+            |v, old, new| {
+                v.take_entry(&new);
+                v.take_entry(&old);
+            },
+            Some(5),
+        ),
+        (
+            "ended",
+            |v, old, _| {
+                v.take_entry(&old);
+                v.take_deletion(&old.key, 6);
+            },
+            None,
+        ),
+        (
+            "an older one ended",
+            |v, _, new| {
+                v.take_entry(&new);
+                v.take_deletion(&new.key, 4);
+            },
+            Some(5),
+        ),
+        (
+            "a list from before its end, read after it",
+            |v, old, _| {
+                v.take_entry(&old);
+                v.take_deletion(&old.key, 6);
+                v.reached(6);
+                v.take_drains(&[old], 4);
+            },
+            None,
+        ),
+        (
+            "a list without it",
+            |v, old, _| {
+                v.take_entry(&old);
+                v.take_drains(&[], 9);
+            },
+            None,
+        ),
+    ];
+    for (name, change, expected) in cases {
+        let mut view = View::default();
+        change(&mut view, entry(3), entry(5));
+        assert_eq!(view.drains.get("m-0").map(|d| d.1), expected, "{name}");
+    }
+    // What cannot be read sets its machine aside, and is never called drained.
+    let mut view = View::default();
+    view.take_entry(&Entry {
+        value: serde_json::value::to_raw_value(&7).unwrap(),
+        ..entry(3)
+    });
+    let mut core = ready(&["m-0"]);
+    core.hello(&report("m-0", 1, 2, 5, &[]), 0.5);
+    core.place(0.6);
+    core.set_drains(&view.drains);
+    assert!(core.machines["m-0"].held && core.drains_proven(0, 9).is_empty());
+}
+
 fn roll(hosts: &[&str], at_most: AtMost) -> Roll {
     Roll {
         name: "kernel".into(),
