Plan report: names in the middle of their lanes

Cause: seen in the rendered report, names stood at the lanes' edges. Change: lanes and bars are centred on whole numbers.

--- a/crates/plan/src/html.rs
+++ b/crates/plan/src/html.rs
@@ -57,9 +57,12 @@
             .margin(8)
             .x_label_area_size(28)
             .y_label_area_size(110)
-            .build_cartesian_2d(0.0..end, 0.0..lanes.len().max(1) as f64)?;
+            .build_cartesian_2d(0.0..end, -0.5..lanes.len().max(1) as f64 - 0.5)?;
         let name = |y: &f64| {
-            let at = lanes.len().checked_sub(1 + *y as usize);
+            // Names stand at whole numbers, in the middle of their lanes.
+            let whole = (y - y.round()).abs() < 0.01 && *y > -0.1;
+            let at = lanes.len().checked_sub(1 + y.round().max(0.0) as usize);
+            let at = at.filter(|_| whole);
             at.and_then(|at| lanes.get(at))
                 .map_or(String::new(), |l| l.0.clone())
         };
@@ -76,18 +79,18 @@
                 let colour = if *done { &GREEN } else { &RED };
                 let (from, to) = (from.max(0.0), to.min(end));
                 if from < to {
-                    let bar = [(from, y + 0.15), (to, y + 0.85)];
+                    let bar = [(from, y - 0.35), (to, y + 0.35)];
                     chart.draw_series([Rectangle::new(bar, colour.mix(0.25).filled())])?;
                 }
             }
             if let Some(at) = plan.picture.drained_s.get(*host) {
-                let line = vec![(*at, y), (*at, y + 1.0)];
+                let line = vec![(*at, y - 0.5), (*at, y + 0.5)];
                 chart.draw_series([PathElement::new(line, BLACK.stroke_width(2))])?;
             }
         }
         let start = vec![
-            (plan.order.start_s, 0.0),
-            (plan.order.start_s, lanes.len() as f64),
+            (plan.order.start_s, -0.5),
+            (plan.order.start_s, lanes.len() as f64 - 0.5),
         ];
         chart.draw_series([PathElement::new(start, BLUE.stroke_width(1))])?;
         Ok(())
@@ -136,9 +139,10 @@
             .margin(8)
             .x_label_area_size(28)
             .y_label_area_size(60)
-            .build_cartesian_2d(0.0..classes.len().max(1) as f64, 0.0..most * 1.1)?;
+            .build_cartesian_2d(-0.5..classes.len().max(1) as f64 - 0.5, 0.0..most * 1.1)?;
         let name = |x: &f64| {
-            let class = classes.get(*x as usize);
+            let whole = (x - x.round()).abs() < 0.01 && *x > -0.1;
+            let class = classes.get(x.round().max(0.0) as usize).filter(|_| whole);
             class.map_or(String::new(), |c| c.class.clone())
         };
         chart
@@ -151,8 +155,8 @@
         for (at, class) in classes.iter().enumerate() {
             let x = at as f64;
             let bars = [
-                (x + 0.15, x + 0.45, class.late_without, BLUE),
-                (x + 0.55, x + 0.85, class.late_with, RED),
+                (x - 0.35, x - 0.05, class.late_without, BLUE),
+                (x + 0.05, x + 0.35, class.late_with, RED),
             ];
             for (from, to, height, colour) in bars {
                 let bar = [(from, 0.0), (to, height)];
