--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -186,6 +186,19 @@
 /// in the books, while a start is under way.
 #[test]
 fn drained_only_by_proof() {
+    let mut core = ready(&["m-0"]);
+    add(
+        &mut core,
+        spec("run-1", "t", Urgency::Standard, 10, 1.0),
+        0.0,
+    );
+    core.place(0.2);
+    assert_eq!(core.jobs["run-1"].bound.len(), 2);
+    core.set_drains(&wanted(&[drain("m-0", None, Rest::Leave)]));
+    assert!(
+        core.jobs["run-1"].bound.is_empty(),
+        "its queue is drawn again"
+    );
     let mut core = ready(&["m-0", "m-1"]);
     add(
         &mut core,
