The view keeps room for the reason: the class only on wide terminals

Cause: the wider job column cut the reason, and the test of the view said so. Change: the class is shown from 150 columns on. Result: the test passes.

--- a/crates/ctl/src/watch.rs
+++ b/crates/ctl/src/watch.rs
@@ -111,11 +111,14 @@
     Line::from(spans)
 }
 
-fn job_row(j: &JobRow) -> Row<'static> {
-    let cells = [
+/// From this width on the class is shown too; on a narrower terminal the reason
+/// needs the room.
+const WIDE: u16 = 150;
+
+fn job_row(j: &JobRow, wide: bool) -> Row<'static> {
+    let mut cells = vec![
         name(&j.standing).to_uppercase(),
         j.id.clone(),
-        j.class.clone(),
         j.team.clone(),
         span(j.age_s),
         j.slack_s.map_or("-".into(), span),
@@ -123,28 +126,32 @@
         j.running.to_string(),
         j.why.clone(),
     ];
-    Row::new(cells.map(Cell::from)).style(colour(j.standing))
+    if wide {
+        cells.insert(2, j.class.clone());
+    }
+    Row::new(cells.into_iter().map(Cell::from)).style(colour(j.standing))
 }
 
 fn draw_jobs(frame: &mut Frame, area: Rect, screen: &Screen) {
+    let wide = area.width >= WIDE;
     let rows = screen.jobs.iter().flat_map(|j| &j.data.rows);
-    let rows = rows.skip(screen.top).map(job_row);
-    let widths = [
-        Constraint::Length(8),
-        Constraint::Length(24),
-        Constraint::Length(16),
-        Constraint::Length(14),
-        Constraint::Length(6),
-        Constraint::Length(6),
-        Constraint::Length(10),
-        Constraint::Length(5),
-        Constraint::Fill(1),
+    let rows = rows.skip(screen.top).map(|j| job_row(j, wide));
+    let mut columns = vec![
+        ("state", Constraint::Length(8)),
+        ("job", Constraint::Length(24)),
+        ("team", Constraint::Length(12)),
+        ("age", Constraint::Length(5)),
+        ("slack", Constraint::Length(5)),
+        ("done", Constraint::Length(9)),
+        ("runs", Constraint::Length(5)),
+        ("why", Constraint::Fill(1)),
     ];
-    let head = [
-        "state", "job", "class", "team", "age", "slack", "done", "runs", "why",
-    ];
-    let table = Table::new(rows, widths)
-        .header(Row::new(head).style(Style::new().add_modifier(Modifier::DIM)))
+    if wide {
+        columns.insert(2, ("class", Constraint::Length(18)));
+    }
+    let head = Row::new(columns.iter().map(|c| c.0));
+    let table = Table::new(rows, columns.iter().map(|c| c.1))
+        .header(head.style(Style::new().add_modifier(Modifier::DIM)))
         .block(Block::bordered().title(" jobs, the stuck ones first "));
     frame.render_widget(table, area);
 }
