--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -25,15 +25,27 @@
     lease_s * 1.002 + 0.1
 }
 
+/// Most names of returned machines kept: a fleet and a half of the largest.
+const RETURNED: usize = 2048;
+
 /// Machine types by name.
 pub type Types = HashMap<String, MachineType, RandomState>;
 
+/// How long a worker that none of so many controllers answers takes to come round:
+/// 4 s of waiting and 1 s of pause at each, and a fifth for slow packets.
+pub fn round_s(nodes: usize) -> f64 {
+    nodes as f64 * 6.0
+}
+
 /// What the core needs of the settings.
 #[derive(Clone, Debug)]
 pub struct Params {
     pub lease_s: f64,
     pub report_s: f64,
     pub cancel_s: f64,
+    /// How long a worker that no controller answers takes to come round to the same
+    /// one again.
+    pub round_s: f64,
     pub teams: Vec<Team>,
     pub objectives: Vec<Objective>,
     pub policy: Policy,
@@ -46,6 +58,7 @@
             lease_s: workers.lease_s,
             report_s: workers.report_s,
             cancel_s: workers.cancel_s,
+            round_s: round_s(settings.cluster.nodes),
             teams: settings.cluster.teams.clone(),
             objectives: settings.cluster.objectives.clone(),
             policy: policy.clone(),
@@ -100,6 +113,11 @@
     pub(super) awaited: Names,
     /// How many of them there were at the last look.
     pub(super) awaited_before: usize,
+    /// Machines that may not hear us, and some that did not.
+    pub(super) doubtful: Names,
+    /// Machines that the cloud confirmed as gone, the latest ones: their reports
+    /// come late.
+    pub(super) returned: Names,
     /// Machines with a start in limbo, and some that had.
     pub(super) limbo: Names,
     /// Machines where a bound task may start now.
@@ -143,6 +161,8 @@
             used: Usage::default(),
             awaited: Names::default(),
             awaited_before: 0,
+            doubtful: Names::default(),
+            returned: Names::default(),
             limbo: Names::default(),
             freed: Names::default(),
             stopping: IndexSet::default(),
@@ -389,7 +409,16 @@
         self.unbind_all(name);
     }
 
-    /// The cloud said the machine and all on it are gone.
+    /// The cloud confirmed the return: what still comes from the machine is old.
+    pub fn machine_returned(&mut self, name: &str) {
+        self.machine_gone(name);
+        self.returned.insert(name.into());
+        if self.returned.len() > RETURNED {
+            self.returned.shift_remove_index(0);
+        }
+    }
+
+    /// The machine and all on it are gone.
     pub fn machine_gone(&mut self, name: &str) {
         self.clear_machine(name);
         if self.machines.swap_remove(name).is_some_and(|m| m.recorded) {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -147,10 +147,10 @@
                     // cut to end; after twice a boot a new one would be up,
                     // but not where the whole zone is cut off.
                     // Nor where an operator switched it off.
-                    m.standing == Standing::Expired
-                        && !m.held
-                        && now - m.heard > 2.0 * lease + boot_s
-                        && !cut.contains(&m.info.zone)
+                    // One that hears nobody is as good as silent.
+                    let after_s = 2.0 * lease + boot_s;
+                    let silent = m.standing == Standing::Expired && now - m.heard > after_s;
+                    (silent || m.deaf(now, after_s)) && !m.held && !cut.contains(&m.info.zone)
                 })
             }
         };
@@ -215,7 +215,7 @@
         tracing::info!(machines = ?names, "returned");
         if let Some(core) = node.core.borrow_mut().as_mut() {
             for name in &names {
-                core.machine_gone(name);
+                core.machine_returned(name);
             }
         }
         for name in names {
@@ -284,10 +284,11 @@
             }
         }
         let cut = core.cut_zones(now);
+        let deaf_s = core.params.silent_s();
         demand.have_cpus = core
             .machines
             .values()
-            .filter(|m| m.standing == Standing::Up && !m.held)
+            .filter(|m| m.standing == Standing::Up && !m.held && !m.deaf(now, deaf_s))
             .map(|m| &m.info)
             .chain(books.booting.values().map(|b| &b.0))
             .filter(|info| !cut.contains(&info.zone))
--- /dev/null
+++ b/src/coordination/health.rs
@@ -0,0 +1,71 @@
+//! Whether users should be sent here. A controller that the state service does not
+//! answer can accept, cancel and call done nothing, and users stay with whom the load
+//! balancer gave them: then it must say so. But the load balancer takes its time to
+//! come back, the longer the more often that happened, so in an outage for all
+//! nobody says so: it helps no user, and delays everyone when it is over.
+
+/// What a controller knows of its contact to the state service.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Health {
+    /// Since when there is contact without a gap.
+    steady_since: f64,
+    /// Users are sent elsewhere.
+    away: bool,
+}
+
+/// What the other controllers say of their contact.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Peers {
+    /// How many there are.
+    pub all: usize,
+    /// With contact for some time.
+    pub with: usize,
+    /// Without, by their own word.
+    pub without: usize,
+}
+
+impl Peers {
+    /// Whether this looks like an outage for all: nobody has contact, and most
+    /// controllers say so. (Two that are cut off together must not take each other's
+    /// word for it.)
+    fn outage(&self) -> bool {
+        self.with == 0 && 2 * (self.without + 1) > self.all + 1
+    }
+}
+
+impl Health {
+    /// Time passes: contact was last had at `contact_at`; without it for longer than
+    /// `patience_s`, `peers` decide. Whether users are sent elsewhere now, or not any
+    /// more, if that changed.
+    pub fn step(
+        &mut self,
+        now: f64,
+        contact_at: f64,
+        patience_s: f64,
+        peers: Option<Peers>,
+    ) -> Option<bool> {
+        let gap_s = now - contact_at;
+        if gap_s > patience_s / 2.0 {
+            self.steady_since = now;
+        }
+        let before = self.away;
+        if gap_s > patience_s {
+            if let Some(peers) = peers {
+                self.away = !peers.outage();
+            }
+        } else if self.steady_s(now) > patience_s {
+            self.away = false;
+        }
+        (self.away != before).then_some(self.away)
+    }
+
+    /// For how long there has been contact without a gap.
+    pub fn steady_s(&self, now: f64) -> f64 {
+        now - self.steady_since
+    }
+
+    /// Whether users are sent elsewhere.
+    pub fn away(&self) -> bool {
+        self.away
+    }
+}
--- a/src/coordination/job.rs
+++ b/src/coordination/job.rs
@@ -81,6 +81,12 @@
     pub bound: BTreeMap<u32, Name>,
     /// Machines on which a task of this job failed.
     pub failed_on: Names,
+    /// How often tasks of it failed, and how often since it is suspect nothing of it
+    /// was left to run.
+    pub failures: u32,
+    pub retries: u32,
+    /// Its first task went ahead of others, since it had waited for long.
+    pub began_late: bool,
     /// Workers refused its last start since they do not know its description.
     pub unknown: bool,
     /// Not before this time after failures.
@@ -130,6 +136,9 @@
             copies: Vec::new(),
             bound: BTreeMap::new(),
             failed_on: Names::default(),
+            failures: 0,
+            retries: 0,
+            began_late: false,
             unknown: false,
             not_before: 0.0,
             guaranteed: false,
@@ -286,9 +295,26 @@
         }
     }
 
-    /// A job that failed on several machines and never succeeded is more
-    /// likely bad itself than its machines are.
+    /// A job that failed on several machines and never succeeded is more likely bad
+    /// itself than its machines are; not one of which a few tasks met bad machines
+    /// while most of it runs.
     pub fn suspect(&self) -> bool {
-        self.done.is_empty() && self.failed_on.len() >= 3
+        let most = self.failures as usize >= self.on.len();
+        self.done.is_empty() && self.failed_on.len() >= 3 && most
+    }
+
+    /// Whether a task of it is done.
+    pub fn has_succeeded(&self) -> bool {
+        !self.done.is_empty()
+    }
+
+    /// Whether a task of it ran, or is done.
+    pub fn has_begun(&self) -> bool {
+        self.begun || !self.done.is_empty()
+    }
+
+    /// Whether stopping what is on would undo a beginning that came late.
+    pub fn only_beginning(&self) -> bool {
+        self.began_late && self.on.len() == 1 && self.done.is_empty()
     }
 }
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -1,5 +1,6 @@
 //! A machine of the share, and the attempts that may be on it.
 
+use super::hearing::Hearing;
 use super::job::{Name, TaskId};
 use super::room::Room;
 use crate::protocol::worker::{Cause, Phase};
@@ -29,6 +30,9 @@
     pub limbo: Option<(u64, f64)>,
     /// A start or stop waits to be sent.
     pub unsent: bool,
+    /// An answer told the machine to stop or forget it, and no later message has
+    /// shown that it did.
+    pub told: bool,
     /// It is to be stopped, with this grace.
     pub stop: Option<f64>,
     /// What it takes of the machine, as far as its job is known.
@@ -48,6 +52,7 @@
             direct: false,
             limbo: None,
             unsent: true,
+            told: false,
             stop: None,
             holds,
         }
@@ -113,8 +118,12 @@
     pub fenced_at: f64,
     /// When a message from it last arrived.
     pub heard: f64,
+    /// When it reported as if it counted anew, and nothing newer came since.
+    pub anew_at: Option<f64>,
     /// When a report of it was last answered.
     pub answered: Option<f64>,
+    /// Whether it hears our answers.
+    pub hearing: Hearing,
     /// When the cloud will take it away.
     pub notice_at: Option<f64>,
     pub active: BTreeMap<(TaskId, u64), Active>,
@@ -135,8 +144,9 @@
     pub called_at: f64,
     /// When it was first asked for a report under our term.
     pub probed_at: Option<f64>,
-    /// Failures in a row of jobs that are not suspect.
-    pub errors: u32,
+    /// Failures in a row, by their jobs: those of a job that never succeeded count
+    /// once, for it may be the job's own fault.
+    pub errors: Vec<Name>,
     pub idle_since: f64,
 }
 
@@ -154,7 +164,9 @@
             fenced_at: now,
             session_at: now,
             heard: now,
+            anew_at: None,
             answered: None,
+            hearing: Hearing::default(),
             notice_at: None,
             active: BTreeMap::new(),
             strangers: 0,
@@ -166,7 +178,7 @@
             calling: false,
             called_at: f64::NEG_INFINITY,
             probed_at: None,
-            errors: 0,
+            errors: Vec::new(),
             idle_since: now,
         }
     }
@@ -207,9 +219,15 @@
             && !self.held
             && self.strangers == 0
             && self.notice_at.is_none()
+            && !self.hearing.doubted()
             && now - self.heard < silent_s
     }
 
+    /// Whether it has been in doubt for longer than this whether it hears us.
+    pub fn deaf(&self, now: f64, longer_s: f64) -> bool {
+        self.hearing.doubted_s(now).is_some_and(|s| s > longer_s)
+    }
+
     /// Attempts that hold room.
     pub fn holding(&self) -> impl Iterator<Item = (&(TaskId, u64), &Active)> {
         self.active.iter().filter(|(_, a)| !a.exited())
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //! preemption and the fleet. The `Core` and all it uses is pure code with
 //! passed-in time and a seeded generator; the actors around it do the talking.
 
+pub mod commands;
 pub mod core;
 pub mod dispatch;
 pub mod drains;
@@ -9,6 +10,8 @@
 pub mod fence;
 pub mod fleet;
 pub mod fleet_plan;
+pub mod health;
+pub mod hearing;
 pub mod job;
 pub mod learn;
 pub mod ledger;
@@ -25,5 +28,6 @@
 pub mod rolls;
 pub mod room;
 pub mod sessions;
+pub mod silence;
 pub mod snapshot;
 pub mod views;
--- a/src/coordination/order.rs
+++ b/src/coordination/order.rs
@@ -25,6 +25,8 @@
     pub need: Room,
     /// See `Job::fresh`.
     pub fresh: Rc<Cell<bool>>,
+    /// Its first task alone.
+    pub first: bool,
 }
 
 /// The order of jobs, made anew from time to time.
@@ -102,6 +104,7 @@
                 name: name.clone(),
                 need: Room::of_task(&job.spec),
                 fresh: job.fresh.clone(),
+                first: false,
             });
             if let Some(job) = self.jobs.get_mut(&name) {
                 job.pressed = pressed;
@@ -118,6 +121,7 @@
         if self.params.policy.patience > 0.0 {
             self.judge_patience(&order, now);
         }
+        self.begin_first(&mut order, now);
         order.victims.sort_by(|a, b| {
             let by_cost = a.0.total_cmp(&b.0).then(b.1.total_cmp(&a.1));
             by_cost.then_with(|| a.2.cmp(&b.2))
@@ -193,6 +197,32 @@
         }
     }
 
+    /// Puts the first tasks of jobs of which nothing has begun for long before all
+    /// else. Smallest-first, urgency and floors all pass over the largest jobs for as
+    /// long as the load lasts; one task each takes little from the others.
+    fn begin_first(&self, order: &mut Order, now: f64) {
+        let begin_s = self.params.policy.begin_s;
+        if begin_s <= 0.0 {
+            return;
+        }
+        let waits = |e: &&Entry| {
+            let job = self.jobs.get(&e.name);
+            job.is_some_and(|j| !j.has_begun() && !j.suspect() && now - j.at > begin_s / 2.0)
+        };
+        let mut firsts: Vec<Entry> = (order.jobs.iter().filter(waits))
+            .map(|e| Entry {
+                rank: 0,
+                within: self.jobs.get(&e.name).map_or(0.0, |j| j.at),
+                name: e.name.clone(),
+                need: e.need,
+                fresh: e.fresh.clone(),
+                first: true,
+            })
+            .collect();
+        firsts.sort_by(|a, b| a.within.total_cmp(&b.within));
+        order.jobs.splice(0..0, firsts);
+    }
+
     /// Which jobs need room made: those for which enough of it will not come free
     /// by itself within a part of their slack. Stopping others for the rest wins
     /// nobody's aim and loses what they have done.
--- a/src/coordination/place.rs
+++ b/src/coordination/place.rs
@@ -216,7 +216,11 @@
                 if fresh || grown.iter().any(|g| g.holds(&entry.need)) {
                     let thorough = fresh || again > 0;
                     again -= usize::from(!fresh && again > 0);
-                    self.place_job(&entry.name, thorough, &mut pass, now);
+                    if !entry.first {
+                        self.place_job(&entry.name, u32::MAX, thorough, &mut pass, now);
+                    } else if self.jobs.get(&entry.name).is_some_and(|j| j.on.is_empty()) {
+                        self.place_job(&entry.name, 1, thorough, &mut pass, now);
+                    }
                 }
                 at += 1;
             }
@@ -241,26 +245,31 @@
         self.reindex(machine);
     }
 
-    /// Places what waits of one job: by room that is free and, if `thorough`, by
-    /// making room and in queues.
-    fn place_job(&mut self, name: &Name, thorough: bool, pass: &mut Pass, now: f64) {
+    /// Places what waits of one job, `most` tasks: by room that is free and, if
+    /// `thorough`, by making room and in queues.
+    fn place_job(&mut self, name: &Name, most: u32, thorough: bool, pass: &mut Pass, now: f64) {
         let Some(job) = self.jobs.get(name) else {
             return;
         };
         if job.not_before > now {
             return;
         }
-        job.fresh.set(false);
+        if most > 1 {
+            job.fresh.set(false);
+        }
         if job.lacking() == 0 {
             return;
         }
         let (spec, team) = (job.spec.clone(), job.team);
         let need = Room::of_task(&spec);
+        let mut placed = 0;
         loop {
             let Some(job) = self.jobs.get(name) else {
                 return;
             };
-            if job.lacking() == 0 {
+            // One task tells whether a job that fails everywhere still does.
+            let tried = job.suspect() && !job.on.is_empty();
+            if job.lacking() == 0 || placed >= most || tried {
                 return;
             }
             let limit = self.team(team);
@@ -290,7 +299,13 @@
             };
             if open {
                 if let Some(machine) = self.draw_open(&spec, &task, &pools, now) {
+                    if most == 1 {
+                        if let Some(job) = self.jobs.get_mut(name) {
+                            job.began_late = true;
+                        }
+                    }
                     self.begin(&machine, task, &spec, pass, now);
+                    placed += 1;
                     continue;
                 }
             }
@@ -314,6 +329,7 @@
                 pass.freeing = None;
             }
             self.bind(&machine, task, reserved, now);
+            placed += 1;
         }
     }
 
--- a/src/coordination/preempt.rs
+++ b/src/coordination/preempt.rs
@@ -266,7 +266,7 @@
                 continue;
             }
             let stops = victim.stops.get(&key.0.index).copied().unwrap_or(0);
-            if stops >= self.params.policy.max_stops {
+            if stops >= self.params.policy.max_stops || victim.only_beginning() {
                 continue;
             }
             if self.yields(job, victim, lacking, &pass.usage) {
--- a/src/coordination/reach.rs
+++ b/src/coordination/reach.rs
@@ -58,6 +58,13 @@
         let mut sums = (0, 0);
         for m in self.machines.values().filter(expected) {
             sums.0 += 1;
+            // One that hears nobody goes from controller to controller: with another
+            // owner it would be the same.
+            let due_s = if m.hearing.doubted() {
+                due_s.max(self.params.round_s)
+            } else {
+                due_s
+            };
             sums.1 += usize::from(self.silence(m.heard, now) > due_s);
         }
         sums
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -1,13 +1,18 @@
 //! Worker sessions: what reports say is on machines, what commands they get,
 //! and when silence proves a machine empty.
 
-use super::core::{with_margin, Core};
+use super::core::Core;
+use super::hearing::{Sign, Signs};
 use super::job::{Name, TaskId};
 use super::machine::{Active, Machine, Standing};
 use super::room::Room;
 use crate::protocol::worker::{Cause, Command, Direct, Phase, Reply, Report, ReportHead};
 use crate::storage::records::MachineInfo;
 
+/// For how long a worker waits for an answer before it gives a report up: one that
+/// was overtaken by a newer message is not older than that.
+const PATIENCE_S: f64 = 4.0;
+
 /// How a message came to us.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Via {
@@ -59,6 +64,7 @@
             && m.recorded
             && m.strangers == 0
             && m.indexed
+            && !m.hearing.doubted()
             && m.notice_at.is_none()
             && head.notice_s.is_none()
             && head.token == m.token
@@ -71,6 +77,7 @@
             m.seen.1 = head.seq;
             m.heard = now;
             m.answered = Some(now);
+            m.hearing.answered(self.term);
             self.passes(now);
         }
         same
@@ -92,6 +99,10 @@
             return Answer::Superseded;
         }
         let name: Name = report.machine.as_str().into();
+        if self.returned.contains(&name) {
+            // A late copy: the machine is gone, and its name is never used again.
+            return Answer::Refuse;
+        }
         if !self.machines.contains_key(&name) {
             // Not in our record, so nothing can have been started on it. It
             // becomes usable once the record with it is written.
@@ -103,9 +114,13 @@
             self.machines.insert(name.clone(), machine);
             self.record_dirty = true;
         }
+        let listening = self.listening_since(now);
         let Some(m) = self.machines.get_mut(&name) else {
             return Answer::Refuse;
         };
+        // An older one that is not a copy is overtaken by a newer message at most while
+        // its worker waits for the answer; by then the next one is due.
+        let overtaken_s = PATIENCE_S.max(1.5 * self.params.report_s);
         let order = (report.session, report.seq);
         if m.standing == Standing::Expired {
             if report.session <= m.seen.0 {
@@ -114,13 +129,30 @@
             }
             m.standing = Standing::Up;
             m.recorded = false;
-            m.errors = 0;
+            m.errors.clear();
             self.record_dirty = true;
         }
         let stale = order <= m.seen;
+        // A machine keeps the highest term it has seen: newer with a lower one is of
+        // an earlier life of a machine that counts anew.
+        let other_life = !stale && report.token < m.token;
+        if other_life || stale && now - m.heard.max(listening) > overtaken_s {
+            // A copy of an old report, or a machine that counts anew: its session is
+            // not the one we know, and nothing says what it runs. Its lease must end
+            // (an answer might renew it), and until it can have ended, from now on,
+            // what calls of ours started meanwhile may run.
+            m.hearing.heard(Sign::Unheeded, now);
+            m.anew_at.get_or_insert(now);
+            self.doubtful.insert(name.clone());
+            self.reindex(&name);
+            return Answer::Refuse;
+        }
         if !stale {
             self.take_in(&name, report, Via::Hello, now);
         }
+        if self.in_vain(&name, now) {
+            return Answer::Refuse;
+        }
         let mut commands = Vec::new();
         if !stale {
             if self.dirty {
@@ -130,6 +162,7 @@
         }
         if let Some(m) = self.machines.get_mut(&name) {
             m.answered = Some(now);
+            m.hearing.answered(self.term);
             m.repeated = None;
         }
         Answer::Orders(Reply {
@@ -142,13 +175,17 @@
     pub fn called(&mut self, name: &Name, call: &Direct, result: CallResult, now: f64) {
         self.passes(now);
         let unknown = matches!(result, CallResult::Unknown);
-        if unknown {
+        if !matches!(result, CallResult::NotSent | CallResult::Rejected(_)) {
             self.limbo.insert(name.clone());
         }
         let Some(m) = self.machines.get_mut(name) else {
             return;
         };
         m.calling = false;
+        // Executed, by a message older than what we know that does not show it: the
+        // machine counts anew. Nothing tells what became of the start.
+        let old = |r: &Report| (r.session, r.seq) <= m.seen;
+        let old = matches!(&result, CallResult::Executed(r) if old(r));
         for command in &call.commands {
             let (Command::Start { task, attempt }
             | Command::Stop { task, attempt, .. }
@@ -160,7 +197,8 @@
                 if matches!(command, Command::Start { .. }) {
                     active.direct = false;
                     // A newer session or term seen meanwhile rules it out.
-                    if unknown && m.seen.0 <= call.session && m.token <= call.token {
+                    let untold = unknown || old && active.phase.is_none();
+                    if untold && m.seen.0 <= call.session && m.token <= call.token {
                         active.limbo = Some((call.token, now));
                     }
                 }
@@ -169,7 +207,8 @@
         }
         match result {
             CallResult::Executed(report) | CallResult::Rejected(report) => {
-                if report.machine == **name && (report.session, report.seq) > m.seen {
+                let newer = (report.session, report.seq) > m.seen && report.token >= m.token;
+                if report.machine == **name && newer {
                     if m.standing == Standing::Expired {
                         // A new session: its own report readmits it. The old
                         // one was proven over: what is late says nothing.
@@ -186,13 +225,32 @@
     /// Reconciles a newer message with what we thought.
     fn take_in(&mut self, name: &Name, report: &Report, via: Via, now: f64) {
         let base_term = self.fence.base_term;
+        // What ended while we stood still says nothing of the machine's hearing.
+        let steady = now - self.listening_since(now) > self.params.lease_s;
         let Some(m) = self.machines.get_mut(name) else {
             return;
         };
-        m.heard = now;
-        m.repeated = None;
         let newer_session = report.session > m.seen.0;
         let first = m.seen == (0, 0);
+        let mut signs = Signs::default();
+        if via == Via::Direct {
+            signs.note(Sign::Heeded);
+        } else {
+            // What it did not hear of before is seen below, from its tasks.
+            let told = m.hearing.told;
+            if report.token < told {
+                signs.note(Sign::Unheeded);
+            } else if m.token < told {
+                signs.note(Sign::Heeded);
+            }
+            m.hearing.stays(now - m.heard);
+            if newer_session && m.hearing.session_over() && !first && steady {
+                signs.note(Sign::Unheeded);
+            }
+        }
+        m.heard = now;
+        m.anew_at = None;
+        m.repeated = None;
         m.seen = (report.session, report.seq);
         if newer_session {
             m.session_at = now;
@@ -228,7 +286,7 @@
             if holds.is_none() && entry.phase != Phase::Exited {
                 strangers += 1;
             }
-            self.take_entry(name, &key, entry.phase, entry.cause, holds, now);
+            signs.note(self.take_entry(name, &key, entry.phase, entry.cause, holds, now));
         }
         let Some(m) = self.machines.get_mut(name) else {
             return;
@@ -242,8 +300,16 @@
         let (token, seen) = (m.token, m.seen);
         let mut gone = Vec::new();
         for (key, active) in m.active.iter_mut() {
-            if via == Via::Hello {
-                active.hello = None;
+            if via == Via::Hello && active.hello.take().is_some() {
+                // A start in an answer to an earlier report shows by now.
+                signs.note(if active.shown == seen {
+                    Sign::Heeded
+                } else {
+                    Sign::Unheeded
+                });
+            }
+            if active.told && active.shown != seen {
+                signs.note(Sign::Heeded);
             }
             if active.limbo.is_some_and(|(term, _)| term < token) {
                 active.limbo = None;
@@ -264,6 +330,13 @@
             if !m.active.is_empty() {
                 m.idle_since = now;
             }
+            let doubted = m.hearing.doubted();
+            m.hearing.heard(signs.sum(), now);
+            if m.hearing.doubted() != doubted {
+                tracing::info!(machine = %name, doubted = !doubted, "does it hear us?");
+                self.doubtful.insert(name.clone());
+                self.dirty = true;
+            }
         }
         self.reindex(name);
     }
@@ -310,9 +383,9 @@
         cause: Option<Cause>,
         holds: Option<Room>,
         now: f64,
-    ) {
+    ) -> Sign {
         let Some(m) = self.machines.get_mut(name) else {
-            return;
+            return Sign::Nothing;
         };
         let mut fresh = false;
         let active = m.active.entry(key.clone()).or_insert_with(|| {
@@ -324,6 +397,11 @@
         active.shown = m.seen;
         active.holds = holds.unwrap_or_default();
         let was_exited = active.exited();
+        let sign = match std::mem::take(&mut active.told) {
+            true if active.phase == Some(phase) => Sign::Unheeded,
+            true => Sign::Heeded,
+            false => Sign::Nothing,
+        };
         active.phase = Some(phase);
         if phase == Phase::Running && active.running.is_none() {
             active.running = Some(now);
@@ -337,7 +415,7 @@
                 active.unsent = true;
                 self.outbox.insert(name.clone());
             }
-            return;
+            return sign;
         };
         let index = key.0.index;
         let runs = phase != Phase::Exited && started.is_some();
@@ -393,10 +471,10 @@
             if unwanted {
                 self.stop(name, key, 0.0);
             }
-            return;
+            return sign;
         }
         if was_exited {
-            return;
+            return sign;
         }
         active.cause = cause;
         let spec = job.spec.clone();
@@ -406,7 +484,7 @@
                 self.unwritten.insert(key.0.job.clone());
                 self.unbind(&key.0);
                 if let Some(m) = self.machines.get_mut(name) {
-                    m.errors = 0;
+                    m.errors.clear();
                 }
                 if let Some(at) = started {
                     self.ran(&spec, now - at);
@@ -414,13 +492,27 @@
             }
             Some(Cause::Error) => {
                 job.failed_on.insert(name.clone());
-                let tries = job.failed_on.len() as f64;
-                // A bad job is tried ever more rarely, a good one at once.
+                job.failures += 1;
+                // A bad job is tried ever more rarely, and with one task, a good one
+                // at once.
                 if job.suspect() {
+                    job.retries += u32::from(job.on.len() <= 1);
+                    let tries = f64::from(job.retries + 1);
                     job.not_before = now + self.params.report_s * tries.powi(2).min(100.0);
-                    tracing::warn!(job = %key.0.job, machine = %name, "fails everywhere");
+                    if job.retries <= 1 {
+                        tracing::warn!(job = %key.0.job, machine = %name, "fails everywhere");
+                    }
+                    // It was not the machines' fault: a job of hundreds of tasks
+                    // would take a part of a healthy fleet out of use.
+                    for blamed in job.failed_on.iter() {
+                        if let Some(m) = self.machines.get_mut(blamed) {
+                            m.errors.retain(|j| *j != key.0.job);
+                        }
+                    }
                 } else if let Some(m) = self.machines.get_mut(name) {
-                    m.errors += 1;
+                    if job.has_succeeded() || !m.errors.contains(&key.0.job) {
+                        m.errors.push(key.0.job.clone());
+                    }
                     tracing::info!(job = %key.0.job, task = index, machine = %name, "task failed");
                 }
             }
@@ -432,308 +524,6 @@
             _ => {}
         }
         self.off(key);
-    }
-
-    /// Whether an exited attempt can be forgotten by its worker: what it says
-    /// is in the books, and no copy of its start may still come.
-    fn forgettable(&self, key: &(TaskId, u64), active: &Active) -> bool {
-        if active.in_flight() {
-            return false;
-        }
-        match self.jobs.get(&key.0.job) {
-            Some(job) if active.cause == Some(Cause::Done) => {
-                job.over || job.written.contains(key.0.index)
-            }
-            _ => true,
-        }
-    }
-
-    /// Commands for the answer to this report.
-    fn orders(&mut self, name: &Name, order: (u64, u64), now: f64) -> Vec<Command> {
-        let Some(m) = self.machines.get(name) else {
-            return Vec::new();
-        };
-        let mut forget = Vec::new();
-        let mut stops = Vec::new();
-        let mut starts = Vec::new();
-        for (key, active) in &m.active {
-            let (task, attempt) = (key.0.wire(), key.1);
-            if active.exited() {
-                if self.forgettable(key, active) {
-                    forget.push(Command::Forget { task, attempt });
-                }
-            } else if let Some(grace_s) = active.stop {
-                stops.push(Command::Stop {
-                    task,
-                    attempt,
-                    grace_s,
-                });
-            } else if active.phase.is_none() && !active.direct && m.recorded {
-                starts.push((key.clone(), Command::Start { task, attempt }));
-            }
-        }
-        let Some(m) = self.machines.get_mut(name) else {
-            return Vec::new();
-        };
-        for active in m.active.values_mut() {
-            if !active.direct {
-                active.unsent = false;
-            }
-        }
-        let mut commands = forget;
-        commands.append(&mut stops);
-        for (key, command) in starts {
-            if let Some(active) = m.active.get_mut(&key) {
-                active.hello = Some(order);
-                active.sent = now;
-            }
-            commands.push(command);
-        }
-        self.outbox.swap_remove(name);
-        commands
-    }
-
-    /// A direct call for the machine, if one is due.
-    pub fn direct_call(&mut self, name: &Name, now: f64) -> Option<(String, Direct)> {
-        let term = self.term;
-        let m = self.machines.get_mut(name)?;
-        if m.calling || m.standing == Standing::Expired {
-            return None;
-        }
-        let probe = m.recorded && !m.fenced;
-        let mut commands = Vec::new();
-        for (key, active) in m.active.iter_mut() {
-            if !active.unsent || active.exited() {
-                continue;
-            }
-            active.unsent = false;
-            let (task, attempt) = (key.0.wire(), key.1);
-            if let Some(grace_s) = active.stop {
-                commands.push(Command::Stop {
-                    task,
-                    attempt,
-                    grace_s,
-                });
-            } else if active.phase.is_none() {
-                active.direct = true;
-                commands.push(Command::Start { task, attempt });
-            }
-        }
-        if commands.is_empty() && !probe {
-            return None;
-        }
-        m.calling = true;
-        m.called_at = now;
-        if probe {
-            m.probed_at.get_or_insert(now);
-        }
-        let call = Direct {
-            token: term,
-            session: m.seen.0,
-            commands,
-        };
-        Some((m.info.addr.clone(), call))
-    }
-
-    /// Asks up to `most` machines for a report under our term, so that placing
-    /// can begin.
-    pub fn probes(&mut self, now: f64, most: usize) {
-        let machines = &self.machines;
-        self.awaited
-            .retain(|n| machines.get(n).is_some_and(Machine::holds_up));
-        // Workers that lost their owner try another controller every second and
-        // are sent here, so most come by themselves. While they do, asking them
-        // as well would double the work of a takeover.
-        let came = self.awaited_before.saturating_sub(self.awaited.len());
-        self.awaited_before = self.awaited.len();
-        if came > most / 4 {
-            return;
-        }
-        let every = self.params.report_s.min(1.0);
-        let patience = self.params.report_s / 4.0;
-        let due = |m: &&Machine| {
-            m.recorded
-                && !m.fenced
-                && !m.calling
-                && now - m.session_at >= patience
-                && now - m.called_at >= every
-        };
-        let awaited = self.awaited.iter();
-        let machines = awaited.filter(|n| self.machines.get(*n).as_ref().is_some_and(due));
-        let names: Vec<Name> = machines.take(most).cloned().collect();
-        self.outbox.extend(names);
-    }
-
-    /// Time passes: silent machines are proven empty, notices handled.
-    ///
-    /// `confirmed` is when the last successful check that the share is ours
-    /// began. A lease that ran out proves a machine empty only if the share
-    /// was still ours after that: a new owner may be keeping it alive, and we
-    /// would not know without contact to the state service.
-    pub fn tick(&mut self, now: f64, confirmed: f64) {
-        self.passes(now);
-        let lease = with_margin(self.params.lease_s);
-        let mut expired = Vec::new();
-        let mut fallen = Vec::new();
-        for (name, m) in &self.machines {
-            if m.standing == Standing::Expired {
-                continue;
-            }
-            if m.indexed != (self.usable(m, now) && self.types.contains_key(&m.info.kind)) {
-                fallen.push(name.clone());
-            }
-            // Ours alone counts once the machine has seen our term: from then
-            // on it drops the answers of all earlier owners.
-            // A session seen in a direct call's answer runs a lease from its
-            // beginning, although no report of it was answered yet.
-            let last = m.answered.map_or(m.session_at, |t| t.max(m.session_at));
-            let own = last + lease;
-            let from = if m.fenced {
-                Some(own.max(m.fenced_at + lease))
-            } else {
-                self.fence.empty_from(lease).map(|t| t.max(own))
-            };
-            if from.is_some_and(|t| now > t && confirmed > t) {
-                expired.push(name.clone());
-            }
-        }
-        for name in fallen {
-            self.reindex(&name);
-        }
-        for name in expired {
-            tracing::warn!(machine = %name, term = self.term, "silent for a lease: proven empty");
-            self.clear_machine(&name);
-            if let Some(m) = self.machines.get_mut(&name) {
-                m.standing = Standing::Expired;
-                m.recorded = false;
-            }
-            self.reindex(&name);
-            self.outbox.swap_remove(&name);
-            self.record_dirty = true;
-            self.dirty = true;
-        }
-        self.heed_notices(now);
-        self.tend_drains(now);
-        self.cordon(now);
-    }
-
-    /// Silent machines to return before their lease proves them empty: the
-    /// cloud's answer is proof too, and much sooner. Without it one machine
-    /// that died just before a takeover holds up the whole share, and what ran
-    /// on a machine taken without notice waits for a lease. Many silent at
-    /// once are a cut, not deaths: those are waited for.
-    pub fn given_up(&self, now: f64) -> Vec<String> {
-        let silent_s = self.params.silent_s() + self.params.report_s;
-        let unknown_s = 1.5 * self.params.report_s + 0.5;
-        // One that an operator set aside and that was proven empty is switched off
-        // for a reason, and holds up nobody.
-        let recorded = self.machines.values();
-        let recorded = recorded.filter(|m| m.recorded && !self.proven_aside(&m.info.id));
-        // One that was asked answers within milliseconds; a tenth of a lease
-        // covers a busy owner, which hears from a thousand at once. When all
-        // but a few have come the rush is over, and the whole share waits for
-        // machines that are most likely dead.
-        let few = recorded.clone().count() / 64;
-        let left = self.unaccounted().unwrap_or(usize::MAX);
-        let unanswered_s = self.params.lease_s / if left <= few { 40.0 } else { 10.0 };
-        let unanswered = |m: &Machine, s: f64| {
-            (m.probed_at).is_some_and(|t| !m.fenced && self.silence(t, now) > s)
-        };
-        let silent = |m: &&Machine| {
-            m.standing != Standing::Expired
-                && if m.fenced {
-                    self.silence(m.heard, now) > silent_s
-                } else {
-                    // From when we know of it: one that just came up has not
-                    // had the time to see our term.
-                    self.silence(m.session_at, now) > unknown_s || unanswered(m, unanswered_s)
-                }
-        };
-        let all = recorded.clone().count();
-        let mut found: Vec<&Machine> = recorded.filter(silent).collect();
-        // An eighth of the fleet at most. While nothing may be placed the whole
-        // share waits for them: a lease of waiting is more than a quarter of the
-        // fleet is worth, which is up again after a boot. But not where they are
-        // most of a zone, and only after a quarter of a lease without an answer,
-        // for a busy owner hears from the last ones late.
-        if found.len() > (all / 8).max(1) {
-            if self.fence.open || found.len() > all / 4 || self.mostly_one_zone(&found) {
-                return Vec::new();
-            }
-            found.retain(|m| unanswered(m, self.params.lease_s / 4.0));
-        }
-        found.iter().map(|m| m.info.id.clone()).collect()
-    }
-
-    /// Whether these are most of the machines of any zone.
-    fn mostly_one_zone(&self, some: &[&Machine]) -> bool {
-        some.iter().any(|m| {
-            let zone = |o: &&Machine| o.recorded && o.info.zone == m.info.zone;
-            let here = some.iter().filter(|o| o.info.zone == m.info.zone).count();
-            2 * here > self.machines.values().filter(zone).count()
-        })
-    }
-
-    /// Zones most of whose machines fell silent together: cut off, most likely.
-    /// Their machines go on, so they are not replaced, but do not count either.
-    pub fn cut_zones(&self, now: f64) -> Vec<String> {
-        let silent_s = self.params.silent_s() + self.params.report_s;
-        let mut zones: Vec<(&str, usize, usize)> = Vec::new();
-        for m in self.machines.values().filter(|m| !m.held) {
-            let silent = usize::from(self.silence(m.heard, now) > silent_s);
-            match zones.iter_mut().find(|z| z.0 == m.info.zone) {
-                Some(z) => {
-                    z.1 += 1;
-                    z.2 += silent;
-                }
-                None => zones.push((&m.info.zone, 1, silent)),
-            }
-        }
-        // Of two or three machines most may well have died one by one.
-        let cut = |z: &&(&str, usize, usize)| z.1 >= 4 && 2 * z.2 > z.1;
-        zones.iter().filter(cut).map(|z| z.0.to_string()).collect()
-    }
-
-    /// Spot notice: stop what can save, let the short finish.
-    fn heed_notices(&mut self, now: f64) {
-        let mut stops = Vec::new();
-        for (name, m) in &self.machines {
-            let Some(at) = m.notice_at else {
-                continue;
-            };
-            for (key, active) in m.holding() {
-                let Some(job) = self.jobs.get(&key.0.job) else {
-                    continue;
-                };
-                let ran = active.running.map_or(0.0, |t| now - t);
-                let left_s = (self.predict(job) - ran).max(0.0);
-                let room = at - now;
-                let saves = job.spec.checkpoint_s > 0.0;
-                if left_s <= room && active.running.is_some() {
-                    continue;
-                }
-                if saves || active.running.is_none() {
-                    stops.push((name.clone(), key.clone(), self.save_grace(&key.0.job)));
-                }
-            }
-        }
-        for (name, key, grace) in stops {
-            self.stop(&name, &key, grace);
-        }
-    }
-
-    /// Machines that fail task after task are taken out of use.
-    fn cordon(&mut self, _now: f64) {
-        let limit = self.params.policy.cordon_errors;
-        let bad: Vec<Name> = self
-            .machines
-            .iter()
-            .filter(|(_, m)| m.standing == Standing::Up && !m.held && m.errors >= limit)
-            .map(|(n, _)| n.clone())
-            .collect();
-        for name in bad {
-            tracing::warn!(machine = %name, "fails its tasks: cordoned");
-            self.drain(&name);
-        }
+        sign
     }
 }
--- /dev/null
+++ b/src/coordination/silence.rs
@@ -0,0 +1,212 @@
+//! What silence proves, and what is done about machines that are silent, deaf,
+//! failing or about to be taken away.
+
+use super::core::{with_margin, Core};
+use super::job::Name;
+use super::machine::{Machine, Standing};
+
+impl Core {
+    /// Time passes: silent machines are proven empty, notices handled.
+    ///
+    /// `confirmed` is when the last successful check that the share is ours
+    /// began. A lease that ran out proves a machine empty only if the share
+    /// was still ours after that: a new owner may be keeping it alive, and we
+    /// would not know without contact to the state service.
+    pub fn tick(&mut self, now: f64, confirmed: f64) {
+        self.passes(now);
+        let lease = with_margin(self.params.lease_s);
+        let mut expired = Vec::new();
+        let mut fallen = Vec::new();
+        for (name, m) in &self.machines {
+            if m.standing == Standing::Expired {
+                continue;
+            }
+            if m.indexed != (self.usable(m, now) && self.types.contains_key(&m.info.kind)) {
+                fallen.push(name.clone());
+            }
+            // Ours alone counts once the machine has seen our term: from then
+            // on it drops the answers of all earlier owners.
+            // A session seen in a direct call's answer runs a lease from its
+            // beginning, although no report of it was answered yet.
+            let last = m.answered.map_or(m.session_at, |t| t.max(m.session_at));
+            let last = m.anew_at.map_or(last, |t| last.max(t));
+            let own = last + lease;
+            let from = if m.fenced {
+                Some(own.max(m.fenced_at + lease))
+            } else {
+                // Nothing of ours was started there. What a former owner did is over a
+                // lease after the last answer of anyone: the session that lives then
+                // began later. (Each session of a machine that hears nobody has a
+                // lease of its own, and so would never prove it empty.)
+                let answered = m.answered.map_or(f64::NEG_INFINITY, |t| t + lease);
+                self.fence.empty_from(lease).map(|t| t.max(answered))
+            };
+            if from.is_some_and(|t| now > t && confirmed > t) {
+                expired.push(name.clone());
+            }
+        }
+        for name in fallen {
+            self.reindex(&name);
+        }
+        for name in expired {
+            tracing::warn!(machine = %name, term = self.term, "silent for a lease: proven empty");
+            self.clear_machine(&name);
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.standing = Standing::Expired;
+                m.recorded = false;
+                // No former owner answers any more, and what sessions it knew are
+                // over: the next one holds up nobody. (A machine that hears nothing
+                // never reports under our term; after each lease the whole share
+                // would wait for it again.)
+                if !m.fenced {
+                    m.fenced = true;
+                    m.fenced_at = now;
+                }
+            }
+            self.reindex(&name);
+            self.outbox.swap_remove(&name);
+            self.record_dirty = true;
+            self.dirty = true;
+        }
+        self.ask_doubtful(now);
+        self.heed_notices(now);
+        self.tend_drains(now);
+        self.cordon(now);
+    }
+
+    /// Whether answering the machine any longer is no use: it was told our term again
+    /// and again, for a part of a lease, and reports under an older one. As long as it
+    /// is answered, its lease may live, with what a former owner started on it, and
+    /// the whole share waits for it; so it is left alone until that is over.
+    pub(super) fn in_vain(&self, name: &str, now: f64) -> bool {
+        let m = self.machines.get(name);
+        let some_s = self.params.lease_s / 4.0;
+        m.is_some_and(|m| {
+            let long = m.hearing.doubted_s(now).is_some_and(|s| s > some_s);
+            !m.fenced && m.recorded && long && m.hearing.in_vain()
+        })
+    }
+
+    /// Silent machines to return before their lease proves them empty: the
+    /// cloud's answer is proof too, and much sooner. Without it one machine
+    /// that died just before a takeover holds up the whole share, and what ran
+    /// on a machine taken without notice waits for a lease. Many silent at
+    /// once are a cut, not deaths: those are waited for.
+    pub fn given_up(&self, now: f64) -> Vec<String> {
+        let silent_s = self.params.silent_s() + self.params.report_s;
+        let unknown_s = 1.5 * self.params.report_s + 0.5;
+        // One that an operator set aside and that was proven empty is switched off
+        // for a reason, and holds up nobody.
+        let recorded = self.machines.values();
+        let recorded = recorded.filter(|m| m.recorded && !self.proven_aside(&m.info.id));
+        // One that was asked answers within milliseconds; a tenth of a lease
+        // covers a busy owner, which hears from a thousand at once. When all
+        // but a few have come the rush is over, and the whole share waits for
+        // machines that are most likely dead.
+        let few = recorded.clone().count() / 64;
+        let left = self.unaccounted().unwrap_or(usize::MAX);
+        let unanswered_s = self.params.lease_s / if left <= few { 40.0 } else { 10.0 };
+        let unanswered = |m: &Machine, s: f64| {
+            (m.probed_at).is_some_and(|t| !m.fenced && self.silence(t, now) > s)
+        };
+        let silent = |m: &&Machine| {
+            m.standing != Standing::Expired
+                && if m.fenced {
+                    // One that does not hear: past a lease nothing of value runs there.
+                    let deaf_s = m.hearing.doubted_s(now).unwrap_or(0.0);
+                    self.silence(m.heard, now) > silent_s || deaf_s > self.params.lease_s
+                } else {
+                    // From when we know of it: one that just came up has not
+                    // had the time to see our term.
+                    self.silence(m.session_at, now) > unknown_s || unanswered(m, unanswered_s)
+                }
+        };
+        let all = recorded.clone().count();
+        let mut found: Vec<&Machine> = recorded.filter(silent).collect();
+        // An eighth of the fleet at most. While nothing may be placed the whole
+        // share waits for them: a lease of waiting is more than a quarter of the
+        // fleet is worth, which is up again after a boot. But not where they are
+        // most of a zone, and only after a quarter of a lease without an answer,
+        // for a busy owner hears from the last ones late.
+        if found.len() > (all / 8).max(1) {
+            if self.fence.open || found.len() > all / 4 || self.mostly_one_zone(&found) {
+                return Vec::new();
+            }
+            found.retain(|m| unanswered(m, self.params.lease_s / 4.0));
+        }
+        found.iter().map(|m| m.info.id.clone()).collect()
+    }
+
+    /// Whether these are most of the machines of any zone.
+    fn mostly_one_zone(&self, some: &[&Machine]) -> bool {
+        some.iter().any(|m| {
+            let zone = |o: &&Machine| o.recorded && o.info.zone == m.info.zone;
+            let here = some.iter().filter(|o| o.info.zone == m.info.zone).count();
+            2 * here > self.machines.values().filter(zone).count()
+        })
+    }
+
+    /// Zones most of whose machines fell silent together: cut off, most likely.
+    /// Their machines go on, so they are not replaced, but do not count either.
+    pub fn cut_zones(&self, now: f64) -> Vec<String> {
+        let silent_s = self.params.silent_s() + self.params.report_s;
+        let mut zones: Vec<(&str, usize, usize)> = Vec::new();
+        for m in self.machines.values().filter(|m| !m.held) {
+            let away = self.silence(m.heard, now) > silent_s || m.deaf(now, silent_s);
+            let silent = usize::from(away);
+            match zones.iter_mut().find(|z| z.0 == m.info.zone) {
+                Some(z) => {
+                    z.1 += 1;
+                    z.2 += silent;
+                }
+                None => zones.push((&m.info.zone, 1, silent)),
+            }
+        }
+        // Of two or three machines most may well have died one by one.
+        let cut = |z: &&(&str, usize, usize)| z.1 >= 4 && 2 * z.2 > z.1;
+        zones.iter().filter(cut).map(|z| z.0.to_string()).collect()
+    }
+
+    /// Spot notice: stop what can save, let the short finish.
+    fn heed_notices(&mut self, now: f64) {
+        let mut stops = Vec::new();
+        for (name, m) in &self.machines {
+            let Some(at) = m.notice_at else {
+                continue;
+            };
+            for (key, active) in m.holding() {
+                let Some(job) = self.jobs.get(&key.0.job) else {
+                    continue;
+                };
+                let ran = active.running.map_or(0.0, |t| now - t);
+                let left_s = (self.predict(job) - ran).max(0.0);
+                let room = at - now;
+                let saves = job.spec.checkpoint_s > 0.0;
+                if left_s <= room && active.running.is_some() {
+                    continue;
+                }
+                if saves || active.running.is_none() {
+                    stops.push((name.clone(), key.clone(), self.save_grace(&key.0.job)));
+                }
+            }
+        }
+        for (name, key, grace) in stops {
+            self.stop(&name, &key, grace);
+        }
+    }
+
+    /// Machines that fail task after task are taken out of use.
+    fn cordon(&mut self, _now: f64) {
+        let limit = self.params.policy.cordon_errors as usize;
+        let bad: Vec<Name> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.standing == Standing::Up && !m.held && m.errors.len() >= limit)
+            .map(|(n, _)| n.clone())
+            .collect();
+        for name in bad {
+            tracing::warn!(machine = %name, "fails its tasks: cordoned");
+            self.drain(&name);
+        }
+    }
+}
--- a/src/coordination/snapshot.rs
+++ b/src/coordination/snapshot.rs
@@ -140,6 +140,8 @@
             lease_s: snapshot.lease_s,
             report_s: snapshot.report_s,
             cancel_s: snapshot.cancel_s,
+            // Nobody is deaf in a plan.
+            round_s: 0.0,
             teams: snapshot.teams.clone(),
             objectives: snapshot.objectives.clone(),
             policy: snapshot.policy.clone(),
--- a/src/coordination/views.rs
+++ b/src/coordination/views.rs
@@ -31,37 +31,40 @@
 
 impl Core {
     /// Why nothing of the job runs or could be added now.
-    fn reason(&self, job: &Job, usage: &Usage, now: f64) -> &'static str {
+    fn reason(&self, job: &Job, usage: &Usage, now: f64) -> String {
         if !self.fence.open {
-            return "waits until all machines are accounted for after a takeover";
+            return "waits until all machines are accounted for after a takeover".into();
         }
         if job.suspect() {
-            return "fails on every machine it was tried on: look at the job";
+            let (tries, on) = (job.failures, job.failed_on.len());
+            return format!(
+                "fails on every machine it was tried on ({tries} failures on {on} machines): look at the job"
+            );
         }
         if job.lacking() == 0 {
-            return "all tasks are on machines";
+            return "all tasks are on machines".into();
         }
         if job.unknown {
-            return "workers do not know its description: was it uploaded?";
+            return "workers do not know its description: was it uploaded?".into();
         }
         if job.not_before > now {
-            return "waits after a failure or a refused start";
+            return "waits after a failure or a refused start".into();
         }
         if !within_limit(self.team(job.team), usage.of(job.team), &job.spec, 1.0) {
-            return "its team is at its limit";
+            return "its team is at its limit".into();
         }
         if !self
             .index
             .pools_for(&job.spec, &self.types, |_| true)
             .is_empty()
         {
-            return "waits for room";
+            return "waits for room".into();
         }
         let aside = |m: &Machine| m.held && self.may_use(&job.spec, m);
         if self.machines.values().any(aside) {
-            "every machine that it may use is drained"
+            "every machine that it may use is drained".into()
         } else {
-            "no machine that it may use is up"
+            "no machine that it may use is up".into()
         }
     }
 
@@ -97,7 +100,7 @@
             team: job.spec.team.clone(),
             urgency: job.spec.urgency,
             standing,
-            why: self.reason(job, &usage, now).into(),
+            why: self.reason(job, &usage, now),
             age_s: now - at,
             slack_s: self.slack_s(job, now),
             tasks: job.spec.tasks,
@@ -153,7 +156,7 @@
             (_, Some(w)) if w.drain.drained.is_some() => (MachineState::Drained, aside(w)),
             (_, Some(w)) => (MachineState::Draining, aside(w)),
             (Up::Draining, _) => {
-                let why = format!("taken out of use; {} failures in a row", m.errors);
+                let why = format!("taken out of use; {} failures in a row", m.errors.len());
                 (MachineState::Returning, why)
             }
             (Up::Expired, _) => {
--- a/src/protocol/policy.rs
+++ b/src/protocol/policy.rs
@@ -41,6 +41,9 @@
     /// Part of the fleet on which a class or team that is served too little goes
     /// first; 0: none.
     pub floor_share: f64,
+    /// Within this many seconds the first task of every job should start; half of it
+    /// before, the task goes ahead of others. 0: none does.
+    pub begin_s: f64,
     /// Where the operators' API listens; without it there is none.
     pub admin: Option<SocketAddr>,
 }
@@ -59,6 +62,7 @@
             max_stops: 4,
             patience: 0.1,
             floor_share: 0.25,
+            begin_s: 240.0,
             admin: None,
         }
     }
@@ -111,6 +115,9 @@
         if !(0.0..=1.0).contains(&policy.patience) {
             return Err(PolicyError::Field("patience", "is not within 0 and 1"));
         }
+        if !policy.begin_s.is_finite() || policy.begin_s < 0.0 {
+            return Err(PolicyError::Field("begin-s", "is below 0"));
+        }
         if policy.max_stops == 0 {
             // Urgent work could get room from nobody.
             return Err(PolicyError::Field("max-stops", "is 0"));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -29,6 +29,7 @@
         lease_s: LEASE_S,
         report_s: 1.0,
         cancel_s: CANCEL_S,
+        round_s: 30.0,
         teams,
         objectives: Vec::new(),
         policy: Policy::default(),
--- /dev/null
+++ b/tests/hearing.rs
@@ -0,0 +1,315 @@
+//! Machines whose reports arrive while they hear nothing, and copies of reports that
+//! arrive late.
+
+mod common;
+
+use common::*;
+use foxspur::coordination::core::Core;
+use foxspur::coordination::fence::Fence;
+use foxspur::coordination::health::{Health, Peers};
+use foxspur::coordination::machine::Standing;
+use foxspur::coordination::sessions::{Answer, CallResult};
+use foxspur::protocol::job::Urgency;
+use foxspur::protocol::worker::{Cause, Command, Phase};
+
+/// A core that is placing, its clock beating until `now`.
+fn beat(core: &mut Core, from: u32, to: u32) {
+    for s in from..=to {
+        core.tick(f64::from(s), f64::from(s));
+    }
+}
+
+fn doubted(core: &Core, id: &str) -> bool {
+    core.machines[id].hearing.doubted()
+}
+
+/// What says that a machine does not hear us, and what that it does. Guards against
+/// taking a report for proof that our answers arrive.
+#[test]
+fn signs_of_hearing() {
+    // Each report: at, session, serial, term, and whether it is in doubt then.
+    type Row = (u32, u64, u64, u64, bool);
+    let cases: [(&str, &[Row]); 4] = [
+        (
+            "our term is not taken",
+            &[
+                (1, 1, 1, 3, false),
+                (6, 1, 2, 3, true),
+                (11, 1, 3, 5, false),
+            ],
+        ),
+        (
+            "one that hears",
+            &[
+                (1, 1, 1, 3, false),
+                (2, 1, 2, 5, false),
+                (3, 1, 3, 5, false),
+            ],
+        ),
+        (
+            "its session ends though it was answered",
+            &[(1, 1, 1, 5, false), (26, 2, 2, 5, true)],
+        ),
+        (
+            "it stays with us, then it is cut off",
+            &[
+                (1, 1, 1, 5, false),
+                (2, 1, 2, 5, false),
+                (3, 1, 3, 5, false),
+            ],
+        ),
+    ];
+    for (what, rows) in cases {
+        let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+        let mut at = 0;
+        for (now, session, serial, term, doubt) in rows {
+            beat(&mut core, at, *now);
+            at = *now;
+            core.hello(
+                &report("m1", *session, *serial, *term, &[]),
+                f64::from(*now),
+            );
+            assert_eq!(doubted(&core, "m1"), *doubt, "{what} {now}");
+        }
+    }
+}
+
+/// The same from what becomes of a start, a stop and a forgetting in our answers.
+#[test]
+fn signs_of_hearing_in_tasks() {
+    let shown = |phase, cause| vec![("run-1/0", (5 << 24) + 1, phase, cause)];
+    let none = Vec::new();
+    let runs = shown(Phase::Running, None);
+    let over = shown(Phase::Exited, Some(Cause::Stopped));
+    // Reports after the start went out in an answer; the job is over before the one
+    // with `true`. What each shows, and whether the machine is in doubt then.
+    type Row<'a> = (bool, &'a Vec<(&'a str, u64, Phase, Option<Cause>)>, bool);
+    let cases: [(&str, &[Row]); 4] = [
+        ("a start", &[(false, &runs, false)]),
+        ("none", &[(false, &none, true), (false, &runs, false)]),
+        (
+            "no stop",
+            &[
+                (false, &runs, false),
+                (true, &runs, false),
+                (false, &runs, true),
+                (false, &over, false),
+            ],
+        ),
+        (
+            "no forgetting",
+            &[
+                (false, &runs, false),
+                (true, &over, false),
+                (false, &over, true),
+                (false, &none, false),
+            ],
+        ),
+    ];
+    for (what, rows) in cases {
+        let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+        core.hello(&report("m1", 1, 1, 5, &[]), 0.5);
+        add(
+            &mut core,
+            spec("run-1", "t", Urgency::Standard, 1, 1.0),
+            0.5,
+        );
+        let Answer::Orders(reply) = core.hello(&report("m1", 1, 2, 5, &[]), 1.0) else {
+            panic!("refused");
+        };
+        assert_eq!(reply.commands.len(), 1, "{what}");
+        for (serial, (ends, tasks, doubt)) in rows.iter().enumerate() {
+            if *ends {
+                core.job_over("run-1");
+            }
+            let serial = serial as u64 + 3;
+            core.hello(&report("m1", 1, serial, 5, tasks), serial as f64);
+            assert_eq!(doubted(&core, "m1"), *doubt, "{what}, report {serial}");
+        }
+    }
+}
+
+/// Guards against taking what ended during our own pause for a machine's deafness.
+#[test]
+fn our_own_pause_is_no_deafness() {
+    let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+    core.hello(&report("m1", 1, 1, 5, &[]), 1.0);
+    core.tick(1.5, 1.5);
+    // 25 s without a beat.
+    core.hello(&report("m1", 2, 9, 5, &[]), 26.5);
+    assert!(!doubted(&core, "m1"));
+}
+
+/// Guards against a deaf machine that, always empty, draws task after task: from the
+/// first sign on nothing new starts there, its CPUs do not count, and it is asked.
+/// An answer to a call brings it back.
+#[test]
+fn a_deaf_machine_gets_nothing_new() {
+    let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["deaf", "m2"]);
+    let hears = |core: &mut Core, serial: u64, at: f64| {
+        core.hello(&report("m2", 1, serial, 5, &[]), at);
+    };
+    core.hello(&report("deaf", 1, 1, 5, &[]), 1.0);
+    hears(&mut core, 1, 1.0);
+    beat(&mut core, 1, 2);
+    core.hello(&report("deaf", 1, 2, 3, &[]), 3.0);
+    hears(&mut core, 2, 3.0);
+    add(
+        &mut core,
+        spec("run-1", "t", Urgency::Standard, 12, 1.0),
+        3.0,
+    );
+    core.place(3.1);
+    assert!(core.machines["deaf"].active.is_empty());
+    assert_eq!(core.machines["m2"].active.len(), 8);
+    assert_eq!(core.capacity().0, 1);
+    beat(&mut core, 4, 6);
+    assert!(core.outbox.contains("deaf"), "it is not asked");
+    let (_, call) = core.direct_call(&"deaf".into(), 6.0).expect("a call");
+    assert!(call.commands.is_empty());
+    let heard = CallResult::Executed(report("deaf", 1, 3, 5, &[]));
+    core.called(&"deaf".into(), &call, heard, 6.1);
+    core.place(6.1);
+    assert_eq!(core.machines["deaf"].active.len(), 4);
+}
+
+/// Guards against a takeover that waits for ever for a machine that hears nobody:
+/// each answer may have renewed its lease, so that never proved it empty. It is left
+/// alone, and after a lease it holds up nobody, in this session and the next.
+#[test]
+fn a_takeover_does_not_wait_for_the_deaf_for_ever() {
+    let teams = vec![team("t", 0.0, 0.0)];
+    let mut core = Core::new(params(teams), 5, Fence::new(5, Some(0.0)), 7);
+    core.set_types(&types());
+    core.inherit(machine("deaf", "a", false), 0.0);
+    let mut open_at = None;
+    let mut session = 1;
+    for s in 0..80u32 {
+        let now = f64::from(s);
+        core.tick(now, now);
+        if s % 5 == 0 {
+            // Its lease ends every ten seconds.
+            session = 1 + u64::from(s) / 10;
+            core.hello(&report("deaf", session, u64::from(s) + 1, 3, &[]), now);
+            let written: Vec<_> = core.wanted_record().into_iter().cloned().collect();
+            core.record_written(&written);
+        }
+        if core.gate_open() {
+            open_at.get_or_insert(now);
+        }
+    }
+    assert!(session > 6);
+    assert!(open_at.is_some_and(|t| t <= 35.0), "open at {open_at:?}");
+    // It goes back to the cloud, and what comes of it then is old.
+    assert_eq!(core.given_up(80.0), ["deaf"]);
+    core.machine_returned("deaf");
+    let late = core.hello(&report("deaf", 1, 900, 5, &[]), 200.0);
+    assert!(matches!(late, Answer::Refuse));
+    assert!(core.machines.is_empty());
+}
+
+/// A report that is older than what is known: overtaken by an answer to a call it is
+/// answered; long after that it is a copy, or a machine that counts anew, whose lease
+/// must not be renewed. Guards against a machine that is back at once with counters
+/// from the beginning and is answered for ever while its tasks count as on.
+#[test]
+fn older_reports() {
+    for (after_s, answered) in [(1, true), (3, true), (8, false)] {
+        let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+        core.hello(&report("m1", 1, 50, 5, &[]), 1.0);
+        beat(&mut core, 1, 1 + after_s);
+        let answer = core.hello(&report("m1", 1, 3, 5, &[]), f64::from(1 + after_s));
+        let found = matches!(answer, Answer::Orders(_));
+        assert_eq!(found, answered, "after {after_s} s");
+        assert_eq!(doubted(&core, "m1"), !answered);
+    }
+    // What was started by calls after it came back runs until its own lease ends.
+    let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+    core.hello(&report("m1", 1, 50, 5, &[]), 1.0);
+    let mut expired_at = None;
+    for s in 1..40u32 {
+        core.tick(f64::from(s), f64::from(s));
+        if (8..15).contains(&s) {
+            core.hello(&report("m1", 1, u64::from(s) - 7, 5, &[]), f64::from(s));
+        }
+        if core.machines["m1"].standing == Standing::Expired {
+            expired_at.get_or_insert(s);
+        }
+    }
+    assert!(expired_at.is_some_and(|s| s > 18), "{expired_at:?}");
+}
+
+/// Late copies at an owner that took over do not end its fence, bring back what was
+/// forgotten or stop what has started since.
+#[test]
+fn late_copies_after_a_takeover() {
+    let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+    add(
+        &mut core,
+        spec("run-1", "t", Urgency::Standard, 1, 1.0),
+        0.0,
+    );
+    let old = [("run-1/0", 9, Phase::Running, None)];
+    core.hello(&report("m1", 1, 4, 3, &old), 1.0);
+    assert!(!core.gate_open());
+    // The machine reports that it is over, and is told to start it again.
+    let Answer::Orders(reply) = core.hello(&report("m1", 1, 9, 5, &[]), 2.0) else {
+        panic!("refused");
+    };
+    let [Command::Start { attempt, .. }] = reply.commands[..] else {
+        panic!("{:?}", reply.commands);
+    };
+    let runs = [("run-1/0", attempt, Phase::Running, None)];
+    core.hello(&report("m1", 1, 10, 5, &runs), 2.8);
+    for serial in [4, 9] {
+        core.hello(&report("m1", 1, serial, 3, &old), 3.0);
+        let known: Vec<u64> = core.machines["m1"].active.keys().map(|k| k.1).collect();
+        assert_eq!(known, [attempt], "after a copy of {serial}");
+    }
+}
+
+/// Users are sent elsewhere where the state service does not answer us alone, and
+/// come back without flapping; in an outage for all nobody sends them away.
+#[test]
+fn who_sends_users_elsewhere() {
+    let peers = |with, without| {
+        Some(Peers {
+            all: 4,
+            with,
+            without,
+        })
+    };
+    for (what, found, away) in [
+        ("the others have contact", peers(4, 0), true),
+        ("one has", peers(1, 3), true),
+        ("an outage for all", peers(0, 4), false),
+        ("for most that answer", peers(0, 2), false),
+        ("an island of two", peers(0, 1), true),
+        ("nobody answers", peers(0, 0), true),
+        ("there is nobody else", Some(Peers::default()), false),
+    ] {
+        let mut health = Health::default();
+        health.step(10.0, 9.9, 1.0, None);
+        assert_eq!(
+            health.step(12.0, 9.9, 1.0, found),
+            away.then_some(true),
+            "{what}"
+        );
+        // It comes back for a moment, is lost, and comes back for good.
+        for (now, contact_at, still) in [
+            (12.2, 12.2, true),
+            (13.5, 12.3, true),
+            (13.6, 13.6, true),
+            (14.4, 14.4, true),
+            (14.7, 14.7, false),
+        ] {
+            health.step(
+                now,
+                contact_at,
+                1.0,
+                found.filter(|_| now - contact_at > 1.0),
+            );
+            assert_eq!(health.away(), away && still, "{what} at {now}");
+        }
+    }
+}
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -19,6 +19,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 const STEP_S: f64 = 0.1;
+/// Send time of copies, and the owner that copies go to: whoever it is then.
+const COPY: f64 = -1.0;
+const LATEST: u64 = u64::MAX;
 /// For how long a former owner without contact goes on; it may stand still for
 /// a part of it, and go on where it was.
 const LINGER_S: f64 = 25.0;
@@ -44,6 +47,8 @@
     next: f64,
     hung_until: f64,
     cut_until: f64,
+    /// Its reports arrive, answers and commands do not.
+    deaf_until: f64,
 }
 
 struct World {
@@ -193,6 +198,17 @@
             | Message::Called(w, ..) => *w,
         };
         let mut at = self.now + self.delay();
+        if self.workers[w].deaf_until > self.now {
+            match message {
+                Message::Answer(..) | Message::Direct(_, _, _, true) => return,
+                Message::Direct(w, base, call, false) => {
+                    let given_up = Message::Called(w, base, call, CallResult::Unknown);
+                    self.wire.push((self.now + 4.0, given_up));
+                    return;
+                }
+                Message::Hello(..) | Message::Called(..) => {}
+            }
+        }
         let cut = self.workers[w].cut_until;
         if cut > self.now {
             // Held back, or lost: a caller then only learns that time is up.
@@ -264,6 +280,13 @@
                     self.rng.random_range(0..n)
                 };
                 let owner = self.owners[o].0.fence.base_term;
+                if self.rng.random_bool(0.03) {
+                    // A copy follows, from seconds to several leases later, to
+                    // whoever listens then. Nobody reads the answer.
+                    let late = now + self.rng.random_range(1.0..4.0 * LEASE_S);
+                    let copy = Message::Hello(w, LATEST, report.clone(), COPY);
+                    self.wire.push((late, copy));
+                }
                 self.send(Message::Hello(w, owner, report, now));
             }
         }
@@ -289,6 +312,13 @@
         }
         due.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, message) in due {
+            let message = match message {
+                Message::Hello(w, LATEST, report, sent) => {
+                    let base = self.owners.last().map_or(0, |o| o.0.fence.base_term);
+                    Message::Hello(w, base, report, sent)
+                }
+                other => other,
+            };
             let base = match &message {
                 Message::Hello(_, base, ..) | Message::Called(_, base, ..) => Some(*base),
                 _ => None,
@@ -306,7 +336,7 @@
                         Some(core) => core.hello(&report, now),
                         None => continue,
                     };
-                    if let Answer::Orders(reply) = answer {
+                    if let (Answer::Orders(reply), true) = (answer, sent != COPY) {
                         self.send(Message::Answer(w, report.session, sent, reply));
                     }
                 }
@@ -480,6 +510,37 @@
         }
     }
 
+    /// The machine is back at once, with nothing on it and counters that begin anew.
+    /// Its old connections are gone with what was on its way in them. The protocol has it
+    /// keep the highest term; one that forgets it too obeys former owners again, against
+    /// which nobody can do anything while there are any.
+    fn restart(&mut self, w: usize) {
+        let now = self.now;
+        let worker = &mut self.workers[w];
+        worker.tasks.clear();
+        (worker.session, worker.seq) = (1, 0);
+        if self.owners.len() == 1 {
+            worker.token = 0;
+        }
+        (worker.renewed, worker.asked, worker.next) = (now, None, now);
+        for (at, message) in &mut self.wire {
+            match message {
+                Message::Direct(to, base, call, known) if *to == w => {
+                    let lost = std::mem::replace(known, true);
+                    let result = Message::Called(w, *base, call.clone(), CallResult::Unknown);
+                    // Who was told already that it has no answer is not told again.
+                    (*at, *message) = if lost {
+                        (f64::MAX, result)
+                    } else {
+                        (now, result)
+                    };
+                }
+                _ => {}
+            }
+        }
+        self.wire.retain(|(at, _)| *at < f64::MAX);
+    }
+
     /// Owners hear of new jobs.
     fn hear(&mut self) {
         let now = self.now;
@@ -598,6 +659,7 @@
             next: 0.0,
             hung_until: 0.0,
             cut_until: 0.0,
+            deaf_until: 0.0,
         });
     }
     world.take_over(true);
@@ -658,10 +720,13 @@
         {
             let w = world.rng.random_range(0..workers);
             let until = now + world.rng.random_range(1.0..20.0);
-            if world.rng.random_bool(0.5) {
-                world.workers[w].hung_until = until;
-            } else {
-                world.workers[w].cut_until = until;
+            match world.rng.random_range(0..5) {
+                0 | 1 => world.workers[w].hung_until = until,
+                2 | 3 => world.workers[w].cut_until = until,
+                _ if world.rng.random_bool(0.5) => {
+                    world.workers[w].deaf_until = now + 4.0 * (until - now);
+                }
+                _ => world.restart(w),
             }
         }
         if !calm
