Polls checked many at once; users sent elsewhere where the state service fails us alone

And GET /up stayed 200 for ever on a controller that could answer nothing.

A record that cannot be read is answered as pending, and can be cancelled.

--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -94,7 +94,7 @@
 pub struct Txn {
     #[serde(rename = "when", default)]
     pub conds: Vec<Cond>,
-    #[serde(rename = "apply", default)]
+    #[serde(rename = "apply", default, skip_serializing_if = "Vec::is_empty")]
     pub changes: Vec<Change>,
 }
 
--- a/src/app.rs
+++ b/src/app.rs
@@ -20,6 +20,7 @@
 use crate::transport::clients::{Failure, Lane};
 use crate::transport::listen;
 use actix::prelude::*;
+use actix_http::ConnectionType;
 use actix_web::web::{Bytes, Data, PayloadConfig};
 use actix_web::{web, App, HttpResponse};
 use serde::Serialize;
@@ -41,6 +42,18 @@
     answer(status, &Refusal { error: why.into() })
 }
 
+/// What a user gets from a controller without contact: while others have it, the
+/// connection is closed too, so that the next one leads to another controller.
+fn elsewhere(node: &Node) -> HttpResponse {
+    let mut response = unavailable();
+    if node.health.borrow().away() {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
+    response
+}
+
 /// We cannot tell or record it now; the state service is usually back soon.
 fn unavailable() -> HttpResponse {
     HttpResponse::ServiceUnavailable()
@@ -87,7 +100,7 @@
                 Some(id) => match known(&node, &id).await {
                     Ok(Some(known)) => known,
                     Ok(None) => refuse(400, &why),
-                    Err(_) => unavailable(),
+                    Err(_) => elsewhere(&node),
                 },
                 None => refuse(400, &why),
             };
@@ -101,9 +114,9 @@
                 Ok(Some(known)) => known,
                 Ok(None) => match verdict {
                     Some(Err(why)) => refuse(422, &why),
-                    _ => unavailable(),
+                    _ => elsewhere(&node),
                 },
-                Err(_) => unavailable(),
+                Err(_) => elsewhere(&node),
             };
         }
     }
@@ -129,6 +142,8 @@
             {
                 let now = node.now();
                 node.accepted_in(now - began);
+                let read = Rc::new(record.clone());
+                node.reads.borrow_mut().learnt(&read, version);
                 if let Some(core) = node.core.borrow_mut().as_mut() {
                     core.job_added(record, version, Marks::default());
                     core.place_news(now);
@@ -139,9 +154,9 @@
         }
         Err(Failure::Conflict(_)) => match known(&node, &id).await {
             Ok(Some(known)) => known,
-            _ => unavailable(),
+            _ => elsewhere(&node),
         },
-        Err(_) => unavailable(),
+        Err(_) => elsewhere(&node),
     }
 }
 
@@ -162,6 +177,7 @@
             };
             Some(accepted(200, id, state))
         }
+        Found::Unreadable(_) => Some(accepted(200, id, JobState::Pending)),
         Found::Final(last) => Some(accepted(200, id, last.state)),
         Found::Nothing => None,
     })
@@ -191,7 +207,7 @@
                 // The owner does not answer: what is in the books.
                 None => match ledger::marked(&node, &record).await {
                     Ok(done) => (done, 0),
-                    Err(_) => return unavailable(),
+                    Err(_) => return elsewhere(&node),
                 },
             };
             let state = if running > 0 {
@@ -209,6 +225,15 @@
                 },
             )
         }
+        Ok(Found::Unreadable(_)) => answer(
+            200,
+            &Progress {
+                id: id.as_str().into(),
+                state: JobState::Pending,
+                done: 0,
+                running: 0,
+            },
+        ),
         Ok(Found::Final(last)) => answer(
             200,
             &Progress {
@@ -219,7 +244,7 @@
             },
         ),
         Ok(Found::Nothing) => refuse(404, "no such job"),
-        Err(_) => unavailable(),
+        Err(_) => elsewhere(&node),
     }
 }
 
@@ -231,17 +256,22 @@
     // Marks written meanwhile change the record's version: look again.
     for _ in 0..8 {
         let (record, version) = match node.find(&id).await {
-            Ok(Found::Live(record, version)) => (record, version),
+            Ok(Found::Live(record, version)) => (Some(record), version),
+            Ok(Found::Unreadable(version)) => (None, version),
             Ok(Found::Final(last)) => return accepted(200, &id, last.state),
             Ok(Found::Nothing) => return refuse(404, "no such job"),
-            Err(_) => return unavailable(),
+            Err(_) => return elsewhere(&node),
         };
-        let Ok(done) = ledger::marked(&node, &record).await else {
-            return unavailable();
+        let (tasks, done) = match &record {
+            Some(record) => match ledger::marked(&node, record).await {
+                Ok(done) => (record.spec.tasks, done),
+                Err(_) => return elsewhere(&node),
+            },
+            None => (0, 0),
         };
         let last = Final {
             state: JobState::Cancelled,
-            tasks: record.spec.tasks,
+            tasks,
             done,
         };
         let txn = Txn::default()
@@ -260,10 +290,10 @@
                 return accepted(200, &id, JobState::Cancelled);
             }
             Err(Failure::Conflict(_)) => continue,
-            Err(_) => return unavailable(),
+            Err(_) => return elsewhere(&node),
         }
     }
-    unavailable()
+    elsewhere(&node)
 }
 
 /// Live jobs at a glance, from whoever owns the share.
@@ -292,7 +322,7 @@
 
 /// Healthy once we know the cluster.
 async fn up(node: Shared) -> HttpResponse {
-    if node.tenure.borrow().view.loaded {
+    if node.tenure.borrow().view.loaded && !node.health.borrow().away() {
         answer(200, &json!({"up": true}))
     } else {
         unavailable()
@@ -372,6 +402,10 @@
         },
         (Ask::Vouch(term), _) if node.tenure.borrow().vouches_for(term) => Answer::Agreed,
         (Ask::Promise(_), _) => Answer::Agreed,
+        (Ask::Contact, _) => {
+            let steady_s = node.health.borrow().steady_s(node.now());
+            Answer::Contact((steady_s.max(0.0) * 1000.0) as u64)
+        }
         (Ask::TurnedAway, _) => {
             let recent = node.turned_away.borrow_mut().recent(node.now());
             Answer::TurnedAway(recent)
--- a/src/coordination/member/mod.rs
+++ b/src/coordination/member/mod.rs
@@ -11,6 +11,7 @@
 pub mod view;
 pub mod vouch;
 
+use super::health::Peers;
 use super::node::Node;
 use crate::protocol::mesh::{Answer, Ask};
 use crate::protocol::state::{Seen, Txn};
@@ -34,6 +35,7 @@
         actix_rt::spawn(watch_area(self.node.clone()));
         actix_rt::spawn(mind::mind_share(self.node.clone()));
         actix_rt::spawn(mind_reach(self.node.clone()));
+        actix_rt::spawn(mind_health(self.node.clone()));
     }
 }
 
@@ -126,6 +128,53 @@
     }
 }
 
+/// Sends users elsewhere where the state service does not answer us alone.
+async fn mind_health(node: Rc<Node>) {
+    let patience_s = node.contact_s();
+    loop {
+        sleep(patience_s / 4.0).await;
+        if node.now() - node.contact_at() > patience_s / 2.0 {
+            // Nothing else may be asking at all.
+            let _ = node.state.get(records::SHARE, Lane::Control).await;
+        }
+        let lost = node.now() - node.contact_at() > patience_s;
+        let peers = if lost {
+            Some(ask_contact(&node).await)
+        } else {
+            None
+        };
+        let (now, at) = (node.now(), node.contact_at());
+        let change = node.health.borrow_mut().step(now, at, patience_s, peers);
+        if let Some(away) = change {
+            tracing::warn!(
+                away,
+                ?peers,
+                "contact to the state service: users are sent elsewhere?"
+            );
+        }
+    }
+}
+
+/// What the others say of their contact.
+async fn ask_contact(node: &Rc<Node>) -> Peers {
+    let peers: Vec<_> = node.settings.peers.iter().map(|p| p.addr).collect();
+    let asked = peers.iter().map(|addr| node.mesh.ask(*addr, &Ask::Contact));
+    let answers = futures_util::future::join_all(asked).await;
+    let mut found = Peers {
+        all: peers.len(),
+        ..Peers::default()
+    };
+    for answer in answers {
+        match answer {
+            // One that has just got it back says nothing of our own way.
+            Some(Answer::Contact(ms)) if ms as f64 > node.contact_s() * 1000.0 => found.with += 1,
+            Some(Answer::Contact(_)) => found.without += 1,
+            _ => {}
+        }
+    }
+    found
+}
+
 /// Resigns where workers do not reach us but come to another controller.
 async fn mind_reach(node: Rc<Node>) {
     let report_s = node.settings.cluster.workers.report_s;
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 pub mod fence;
 pub mod fleet;
 pub mod fleet_plan;
+pub mod fresh;
 pub mod health;
 pub mod hearing;
 pub mod job;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -2,6 +2,8 @@
 //! plain cells suffice; no borrow is held across an await.
 
 use super::core::Core;
+use super::fresh::{self, Reads};
+use super::health::Health;
 use super::member::tenure::{Tenure, Terms};
 use super::reach::Tally;
 use crate::protocol::job::JobSpec;
@@ -49,8 +51,11 @@
 /// A job as the state service has it.
 #[derive(Debug)]
 pub enum Found {
-    Live(Box<LiveJob>, u64),
+    Live(Rc<LiveJob>, u64),
     Final(Final),
+    /// It is live, and its record says nothing to this version of the program: it
+    /// waits for one that can read it, and its user must be answered.
+    Unreadable(u64),
     Nothing,
 }
 
@@ -92,6 +97,10 @@
     pub accept_ms: RefCell<Option<Histogram<u32>>>,
     /// What operators were told of the owner's share, for when it is away.
     pub told: RefCell<HashMap<Topic, (f64, u64, String)>>,
+    /// Live jobs as they were read, and polls that wait for a check of them.
+    pub reads: RefCell<Reads>,
+    /// Whether users should be sent here.
+    pub health: RefCell<Health>,
     /// Workers' reports that came here while another one was the owner.
     pub turned_away: RefCell<Tally>,
 }
@@ -131,6 +140,8 @@
             rolled: Cell::default(),
             accept_ms: RefCell::new(Histogram::new_with_bounds(1, 600_000, 2).ok()),
             told: RefCell::default(),
+            reads: RefCell::default(),
+            health: RefCell::default(),
             turned_away: RefCell::default(),
         })
     }
@@ -175,6 +186,20 @@
         self.core.borrow().is_some() && self.tenure.borrow().certain(self.now())
     }
 
+    /// Without contact to the state service for this long a controller doubts its own
+    /// way to it. Half of its lease's life is two renewals and the time for one more.
+    pub fn contact_s(&self) -> f64 {
+        self.life_s() / 2.0
+    }
+
+    /// When the state service last answered.
+    pub fn contact_at(&self) -> f64 {
+        let at = self.state.met().answered_at;
+        at.map_or(0.0, |at| {
+            at.saturating_duration_since(self.start).as_secs_f64()
+        })
+    }
+
     /// Life of a controller's lease in the state service, in seconds.
     pub fn life_s(&self) -> f64 {
         self.policy.life_s(self.settings.cluster.workers.lease_s)
@@ -200,13 +225,21 @@
 
     /// Reads a job afresh. A job moves from live to final and never back, so
     /// reading in this order cannot miss it.
-    pub async fn find(&self, id: &str) -> Result<Found, Failure> {
+    pub async fn find(self: &Rc<Self>, id: &str) -> Result<Found, Failure> {
         if let Some(state) = self.finals.borrow().get(id) {
             return Ok(Found::Final(state));
         }
+        if let Some((record, version)) = fresh::still(self, id).await? {
+            return Ok(Found::Live(record, version));
+        }
         if let Some(entry) = self.state.get(&records::live(id), Lane::Data).await? {
-            let record = entry.read().map_err(|_| Failure::Unknown)?;
-            return Ok(Found::Live(Box::new(record), entry.version));
+            let Ok(record) = entry.read() else {
+                tracing::error!(key = %entry.key, "unreadable job record");
+                return Ok(Found::Unreadable(entry.version));
+            };
+            let record = Rc::new(record);
+            self.reads.borrow_mut().learnt(&record, entry.version);
+            return Ok(Found::Live(record, entry.version));
         }
         match self.state.get(&records::fin(id), Lane::Data).await? {
             Some(entry) => {
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -20,6 +20,8 @@
     TurnedAway,
     /// What do operators see of your share?
     Admin(Topic),
+    /// For how long have you had contact to the state service without a gap?
+    Contact,
 }
 
 /// What operators look at.
@@ -53,6 +55,8 @@
     Admin(u64, String),
     /// The asked controller does not own what was asked about.
     NotMine,
+    /// For so many milliseconds.
+    Contact(u64),
 }
 
 /// Encodes a message.
