--- /dev/null
+++ b/tests/ops.rs
@@ -0,0 +1,168 @@
+//! Jobs submitted with a mistake, beside machines that fail everything; first tasks of
+//! jobs that all else passes over.
+
+mod common;
+
+use common::*;
+use foxspur::coordination::core::Core;
+use foxspur::coordination::machine::Standing;
+use foxspur::protocol::job::Urgency;
+use foxspur::protocol::policy::Policy;
+use foxspur::protocol::worker::{Cause, Phase};
+
+type Shown = Vec<(String, u64, Phase, Option<Cause>)>;
+
+/// What a machine shows of what was started there: whether a task of the job fails.
+fn shows(core: &Core, id: &str, fails: impl Fn(&str) -> Option<Cause>) -> Shown {
+    // What was shown as over has been forgotten since.
+    let active = core.machines[id].holding().map(|(key, _)| key);
+    active
+        .map(|(task, attempt)| match fails(&task.job) {
+            Some(cause) => (task.wire(), *attempt, Phase::Exited, Some(cause)),
+            None => (task.wire(), *attempt, Phase::Running, None),
+        })
+        .collect()
+}
+
+fn tell(core: &mut Core, id: &str, serial: u64, shown: &Shown, at: f64) {
+    let tasks: Vec<_> = shown
+        .iter()
+        .map(|t| (t.0.as_str(), t.1, t.2, t.3))
+        .collect();
+    core.hello(&report(id, 1, serial, 5, &tasks), at);
+}
+
+/// Guards against blaming machines for a job's mistake: its tasks failed at once all
+/// over the fleet, and machines with three of them were taken out of use. And against
+/// a broken job that takes the fleet for each of its retries.
+#[test]
+fn a_broken_job_blames_no_machine_and_takes_one_place() {
+    let names: Vec<String> = (0..12).map(|i| format!("m{i}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut core = core(vec![team("t", 0.0, 0.0)], 5, &names);
+    for name in &names {
+        tell(&mut core, name, 1, &Vec::new(), 0.5);
+    }
+    add(
+        &mut core,
+        spec("run-1", "t", Urgency::Standard, 96, 1.0),
+        0.5,
+    );
+    core.place(1.0);
+    assert_eq!(core.jobs["run-1"].on.len(), 96);
+    let mut most = 0;
+    let mut tries = 0;
+    for s in 2..200u64 {
+        let now = s as f64;
+        for name in &names {
+            let shown = shows(&core, name, |_| Some(Cause::Error));
+            tries += shown.len();
+            tell(&mut core, name, s, &shown, now);
+        }
+        core.tick(now, now);
+        core.place(now + 0.5);
+        most = most.max(if s > 3 {
+            core.jobs["run-1"].on.len()
+        } else {
+            0
+        });
+    }
+    assert_eq!(most, 1, "tasks on at once");
+    assert!((97..130).contains(&tries), "{tries} tries in 200 s");
+    for name in &names {
+        assert_eq!(core.machines[*name].standing, Standing::Up, "{name}");
+    }
+    let text = core.overview(200.0);
+    assert!(text.contains("fails on every machine"), "{text}");
+    assert!(text.contains("failures on 12 machines"), "{text}");
+}
+
+/// Guards against the reverse: a machine that fails everything is found although each
+/// job fails there once, and jobs of which a few tasks met it are not held back.
+#[test]
+fn a_sick_machine_is_found_and_its_jobs_are_not_suspect() {
+    let names = ["m0", "m1", "m2", "m3"];
+    let mut core = core(vec![team("t", 0.0, 0.0)], 5, &names);
+    for name in names {
+        tell(&mut core, name, 1, &Vec::new(), 0.5);
+    }
+    for n in 0..4 {
+        add(
+            &mut core,
+            spec(&format!("run-{n}"), "t", Urgency::Standard, 7, 1.0),
+            0.5,
+        );
+    }
+    core.place(1.0);
+    for s in 2..9u64 {
+        let now = s as f64;
+        let next = spec(&format!("run-{}", s + 2), "t", Urgency::Standard, 2, 1.0);
+        add(&mut core, next, now);
+        for name in names {
+            let sick = name == "m0";
+            let shown = shows(&core, name, |_| sick.then_some(Cause::Error));
+            tell(&mut core, name, s, &shown, now);
+        }
+        core.tick(now, now);
+        core.place(now + 0.5);
+    }
+    assert_eq!(core.machines["m0"].standing, Standing::Draining);
+    for name in &names[1..] {
+        assert_eq!(core.machines[*name].standing, Standing::Up, "{name}");
+    }
+    assert!(core.jobs.values().all(|j| !j.suspect()));
+}
+
+/// Guards against the largest job that smallest-first passes over for as long as small
+/// ones come: half of `begin-s` after it came one task of it goes first, not more, and
+/// is not stopped for others.
+#[test]
+fn the_first_task_of_the_largest_job_starts_in_time() {
+    for (begin_s, begins) in [(240.0, Some(121)), (0.0, None)] {
+        let mut params = params(vec![team("t", 0.0, 0.0)]);
+        params.policy = Policy {
+            begin_s,
+            floor_share: 0.0,
+            ..Policy::default()
+        };
+        let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+        core.params = params;
+        tell(&mut core, "m1", 1, &Vec::new(), 0.1);
+        // With a deadline, so that smallest-first holds.
+        let due = |mut s: foxspur::protocol::job::JobSpec| {
+            s.deadline_s = Some(5000.0);
+            s
+        };
+        add(
+            &mut core,
+            due(spec("run-9999", "t", Urgency::Idle, 400, 1.0)),
+            0.0,
+        );
+        let mut began = None;
+        for s in 1..230u64 {
+            let now = s as f64;
+            // Eight small ones come, those of before are done.
+            for n in 0..10 {
+                let id = format!("run-{}", s * 10 + n);
+                add(
+                    &mut core,
+                    due(spec(&id, "t", Urgency::Standard, 1, 1.0)),
+                    now,
+                );
+            }
+            let shown = shows(&core, "m1", |job| {
+                (job != "run-9999").then_some(Cause::Done)
+            });
+            tell(&mut core, "m1", s + 1, &shown, now);
+            core.tick(now, now);
+            core.place(now + 0.5);
+            let on = core.jobs["run-9999"].on.len();
+            assert!(on <= 1, "{on} of it at {s}");
+            if on > 0 {
+                began.get_or_insert(s);
+            }
+            assert!(began.is_none() || on == 1, "stopped again at {s}");
+        }
+        assert_eq!(began, begins, "begin-s {begin_s}");
+    }
+}
