--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -142,6 +142,8 @@
     /// A direct call is under way.
     pub calling: bool,
     pub called_at: f64,
+    /// Calls in a row that ended without an answer.
+    pub unanswered: u32,
     /// When it was first asked for a report under our term.
     pub probed_at: Option<f64>,
     /// Failures in a row, by their jobs: those of a job that never succeeded count
@@ -177,6 +179,7 @@
             images: Vec::new(),
             calling: false,
             called_at: f64::NEG_INFINITY,
+            unanswered: 0,
             probed_at: None,
             errors: Vec::new(),
             idle_since: now,
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -182,6 +182,9 @@
             return;
         };
         m.calling = false;
+        if matches!(result, CallResult::NotSent | CallResult::Unknown) {
+            m.unanswered += 1;
+        }
         // Executed, by a message older than what we know that does not show it: the
         // machine counts anew. Nothing tells what became of the start.
         let old = |r: &Report| (r.session, r.seq) <= m.seen;
@@ -250,6 +253,7 @@
         }
         m.heard = now;
         m.anew_at = None;
+        m.unanswered = 0;
         m.repeated = None;
         m.seen = (report.session, report.seq);
         if newer_session {
--- a/src/coordination/silence.rs
+++ b/src/coordination/silence.rs
@@ -110,7 +110,9 @@
         // (Counted from the takeover, an eighth of a healthy fleet was returned at each
         // takeover where reports come every 0.8 s, with all that ran there.)
         let unanswered = |m: &Machine, s: f64| {
-            let asked = m.probed_at.filter(|_| left <= few || !m.calling);
+            // A call may fail since we are busy with all the others; when it is made
+            // again most have come.
+            let asked = m.probed_at.filter(|_| left <= few || m.unanswered >= 2);
             asked.is_some_and(|t| !m.fenced && self.silence(t, now) > s)
         };
         let silent = |m: &&Machine| {
