Workers whose owner does not reach them are kept until the share changes hands

Change: who turns away eight workers within two windows keeps them for up to 3 s, until the share has another owner, and names that one. Test: whom_to_keep_from_the_owner.

--- a/src/app.rs
+++ b/src/app.rs
@@ -338,7 +338,12 @@
         node.settled().await;
     }
     if !node.entitled() {
-        node.turned_away.borrow_mut().add(node.now());
+        let lately = node.turned_away.borrow_mut().add(node.now());
+        if crate::coordination::reach::owner_unreached(lately) {
+            node.moved().await;
+        }
+    }
+    if !node.entitled() {
         let to = node.other_owner();
         return answer(421, &Redirect { to: to.as_deref() });
     }
--- a/src/coordination/member/mod.rs
+++ b/src/coordination/member/mod.rs
@@ -225,6 +225,16 @@
         tracing::warn!("share lost: stepping down");
         step_down(node);
     }
+    let term = node
+        .tenure
+        .borrow()
+        .view
+        .share
+        .as_ref()
+        .map_or(0, |(s, _)| s.term);
+    if node.told_term.replace(term) != term {
+        node.claimed.notify_waiters();
+    }
     // Only now: a drain that ended under a later owner frees nothing for us.
     mind::take_drains(node);
     let (now, now_ms) = (node.now(), node.wall_ms());
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -71,8 +71,10 @@
     pub policy: Policy,
     /// A takeover is under way.
     pub claiming: Cell<bool>,
-    /// Told when the takeover is over.
+    /// Told when the takeover is over, and when the share changed hands.
     pub claimed: Notify,
+    /// Term of the share when that was last told.
+    pub told_term: Cell<u64>,
     start: Instant,
     pub state: StateClient,
     pub cloud: CloudClient,
@@ -129,6 +131,7 @@
             policy,
             claiming: Cell::new(false),
             claimed: Notify::new(),
+            told_term: Cell::new(0),
             start: Instant::now(),
             core: RefCell::new(None),
             tenure: RefCell::new(Tenure::new(terms, draw_boot())),
@@ -181,6 +184,16 @@
         }
     }
 
+    /// Waits for the share to change hands, and for a takeover of ours to be over: three
+    /// quarters of the time that a worker waits for an answer.
+    pub async fn moved(&self) {
+        let change = async {
+            self.claimed.notified().await;
+            self.settled().await;
+        };
+        let _ = actix_rt::time::timeout(Duration::from_secs(3), change).await;
+    }
+
     /// Whether nobody can have taken the share from us.
     pub fn certain(&self) -> bool {
         self.core.borrow().is_some() && self.tenure.borrow().certain(self.now())
--- a/src/coordination/reach.rs
+++ b/src/coordination/reach.rs
@@ -28,10 +28,11 @@
         }
     }
 
-    /// One more.
-    pub fn add(&mut self, now: f64) {
+    /// One more; how many there were lately.
+    pub fn add(&mut self, now: f64) -> u32 {
         self.turn(now);
         self.now += 1;
+        self.now + self.before
     }
 
     /// How many there were lately.
@@ -41,6 +42,14 @@
     }
 }
 
+/// Whether so many workers come here lately that their owner does not reach them.
+/// To send them back to it costs each 4 s of waiting and a second; a takeover is a
+/// matter of less. (One machine that boots or is cut off comes alone; as many as make
+/// a cut, see `out_of_reach`, do not.)
+pub fn owner_unreached(turned_away: u32) -> bool {
+    turned_away >= 8
+}
+
 /// Whether to resign: most of the `machines` are silent, as many as make a cut
 /// and not a few deaths, and at least an eighth of them try another controller.
 pub fn out_of_reach(machines: usize, silent: usize, elsewhere: u32) -> bool {
--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use foxspur::coordination::reach::{out_of_reach, Tally};
+use foxspur::coordination::reach::{out_of_reach, owner_unreached, Tally};
 
 /// Guards against an owner that keeps its share while the leases of all its
 /// workers run out (an incident of the lean deployment), and against giving it
@@ -36,6 +36,17 @@
     }
 }
 
+/// Guards against sending workers back to an owner that does not answer them, and
+/// against holding up a machine that boots or was cut off.
+#[test]
+fn whom_to_keep_from_the_owner() {
+    let mut tally = Tally::default();
+    let held = |tally: &mut Tally, now| owner_unreached(tally.add(now));
+    assert!((0..7).all(|n| !held(&mut tally, 100.0 + f64::from(n) * 0.1)));
+    assert!(held(&mut tally, 101.0));
+    assert!(!held(&mut tally, 120.0));
+}
+
 /// What was turned away long ago is forgotten.
 #[test]
 fn reports_turned_away_lately() {
