--- a/crates/tally/src/count.rs
+++ b/crates/tally/src/count.rs
@@ -48,6 +48,8 @@
 #[derive(Debug, Default)]
 pub struct Day {
     pub jobs: BTreeMap<String, JobEnd>,
+    /// When a task of each job first ran.
+    pub begun: BTreeMap<String, f64>,
     /// CPUs of the machines in use, from each time on.
     pub load: Vec<(f64, f64)>,
     pub classes: BTreeMap<String, Counts>,
@@ -85,6 +87,9 @@
                 }
                 ran.insert(job, (*starts, *passed_s));
             }
+            Event::Begun(job) => {
+                day.begun.entry(job.clone()).or_insert(*at);
+            }
             Event::Cancelled(job) => {
                 if let Some(end) = day.jobs.get_mut(job) {
                     end.cancelled = true;
--- a/crates/tally/src/lib.rs
+++ b/crates/tally/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bound;
 pub mod count;
 pub mod flow;
+pub mod largest;
 pub mod log;
 pub mod report;
 pub mod show;
--- a/crates/tally/src/log.rs
+++ b/crates/tally/src/log.rs
@@ -30,6 +30,8 @@
         passed_s: f64,
     },
     Cancelled(String),
+    /// A task of the job ran for the first time.
+    Begun(String),
     /// A task (`job/number`) was stopped to make room.
     Stopped(String),
     /// Tasks that went with their machine.
@@ -120,6 +122,7 @@
                 starts: number("done", "starts")? as u32,
                 passed_s: number("done", "passed_s")?,
             },
+            "begun" => Event::Begun(text_of("begun", "job")?),
             "cancelled" => Event::Cancelled(text_of("cancelled", "job")?),
             "stopped to make room" => Event::Stopped(text_of("stopped to make room", "task")?),
             "lost with its machine" => {
--- a/crates/tally/src/main.rs
+++ b/crates/tally/src/main.rs
@@ -9,7 +9,8 @@
 use std::process::ExitCode;
 
 /// Counts what a day served of each class and team, beside the best that any
-/// scheduler could have done. Ends with 1 if less than half of a class is served.
+/// scheduler could have done. Ends with 1 if less than half of a class or of its largest
+/// jobs is served.
 #[derive(Parser, Debug)]
 #[command(version)]
 struct Args {
@@ -61,7 +62,7 @@
     } else {
         print!("{}", table.text());
     }
-    Ok(table.failed().is_empty())
+    Ok(table.failed().is_empty() && table.failed_largest().is_empty())
 }
 
 fn main() -> ExitCode {
--- a/crates/tally/src/show.rs
+++ b/crates/tally/src/show.rs
@@ -2,6 +2,7 @@
 
 use crate::bound::{alone, together, Fleet, Job};
 use crate::count::{Counts, Day};
+use crate::largest::{largest, text, Largest};
 use crate::report::{Aim, Report};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -36,6 +37,7 @@
     pub teams: Vec<Row>,
     /// The share of each class that could have been served at once by its first aim.
     pub together: f64,
+    pub largest: Vec<Largest>,
 }
 
 /// What half means: a class or team below it by an aim.
@@ -135,6 +137,7 @@
         classes,
         teams,
         together: together(&groups, &fleet),
+        largest: largest(day, report.ends_s),
     }
 }
 
@@ -144,6 +147,14 @@
         self.by_class(|rows| rows.iter().all(|r| r.under_half()))
     }
 
+    /// Classes of whose largest jobs less than half is served: the day fails.
+    pub fn failed_largest(&self) -> Vec<&str> {
+        let under = self.largest.iter().filter(|l| l.under_half());
+        let mut classes: Vec<&str> = under.map(|l| l.class.as_str()).collect();
+        classes.dedup();
+        classes
+    }
+
     /// Classes of which less than half is served by some aim, but not by all.
     pub fn late(&self) -> Vec<&str> {
         self.by_class(|rows| {
@@ -186,6 +197,7 @@
                 r.stopped_most, r.lost, r.passed_s,
             );
         }
+        out.push_str(&text(&self.largest));
         let _ = writeln!(
             out,
             "\nEach class could have had {:.2} by its first aim at the same time.",
@@ -193,6 +205,10 @@
         );
         for (what, names) in [
             ("LESS THAN HALF SERVED", self.failed()),
+            (
+                "LESS THAN HALF OF THE LARGEST SERVED",
+                self.failed_largest(),
+            ),
             ("under half in time", self.late()),
             ("teams under half in time", self.short_teams()),
         ] {
--- a/crates/tally/tests/tally.rs
+++ b/crates/tally/tests/tally.rs
@@ -194,3 +194,49 @@
         prop_assert!(alone(&later, &fleet(cpus)) + 1e-2 >= base);
     }
 }
+
+/// The largest of a class by either measure, begun in time or not: a job without a
+/// `begun` counts from its end, one without either waits until the day's end.
+#[test]
+fn the_largest_jobs_are_counted_by_tasks_and_by_work() {
+    use foxspur_tally::largest::largest;
+    let mut log = String::new();
+    for n in 1..=8 {
+        // The fewer tasks, the longer they run: j1 is the largest by work.
+        let s = 1000 / (n * n);
+        log += &format!(
+            "1.0 a INFO accepted job=j{n} class=c team=t tasks={n} cpus=1 estimate_s={s} due_s=0\n"
+        );
+    }
+    log += "1.0 a INFO accepted job=j9 class=c team=t tasks=99 cpus=1 estimate_s=9 due_s=0\n";
+    log += "2.0 a INFO cancelled job=j9\n";
+    log += "900.0 a INFO accepted job=j10 class=c team=t tasks=99 cpus=1 estimate_s=9 due_s=0\n";
+    log += "200.0 a INFO begun job=j8 waited_s=199\n300.0 b INFO begun job=j8 waited_s=299\n";
+    log += "300.0 a INFO begun job=j7 waited_s=299\n400.0 a INFO done job=j8 starts=8 passed_s=0\n";
+    log += "100.0 a INFO done job=j1 starts=1 passed_s=0\n";
+    let day = count(&read(&log).unwrap(), &BTreeMap::new(), 1000.0);
+    let found = largest(&day, 1000.0);
+    let rows: Vec<_> = found
+        .iter()
+        .map(|l| {
+            (
+                l.by,
+                l.part,
+                l.jobs,
+                l.done,
+                l.begun,
+                l.longest_s,
+                l.under_half(),
+            )
+        })
+        .collect();
+    assert_eq!(
+        rows,
+        [
+            ("tasks", 10, 1, 1, 1, 199.0, false),
+            ("tasks", 4, 2, 1, 1, 299.0, false),
+            ("CPU seconds", 10, 1, 1, 1, 99.0, false),
+            ("CPU seconds", 4, 2, 1, 1, 999.0, false),
+        ]
+    );
+}
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -427,6 +427,7 @@
             active.counted = runs;
             // One that is shown for the first time began before we knew of it.
             if runs && job.begin() && !fresh {
+                tracing::info!(job = %key.0.job, waited_s = now - job.at, "begun");
                 self.learned.waited(&job.spec.class, now - job.at);
             }
             job.running = if runs {
