--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -10,7 +10,7 @@
 use foxspur::coordination::drains::{verdict, Look, Verdict};
 use foxspur::coordination::member::view::View;
 use foxspur::coordination::rolls::{in_turn, step, Scene};
-use foxspur::coordination::sessions::Answer;
+use foxspur::coordination::sessions::{Answer, CallResult};
 use foxspur::protocol::admin::{Drain, DrainOrder, DrainState, Drained, Proof, Rest};
 use foxspur::protocol::job::{Shape, Urgency};
 use foxspur::protocol::roll::{
@@ -351,6 +351,10 @@
         for n in 2..9 {
             core.hello(&report("m-0", 1, n, 6, &[]), n as f64);
             core.tick(n as f64, n as f64);
+            let name = "m-1".into();
+            if let Some((_, call)) = core.direct_call(&name, n as f64) {
+                core.called(&name, &call, CallResult::NotSent, n as f64);
+            }
         }
         assert_eq!(core.given_up(8.0).contains(&"m-1".to_string()), !proven);
         core.hello(&report("m-1", 1, 1, 6, &[]), 9.5);
