--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -426,9 +426,11 @@
         if runs != active.counted {
             active.counted = runs;
             // One that is shown for the first time began before we knew of it.
-            if runs && job.begin() && !fresh {
+            if runs && job.begin() {
                 tracing::info!(job = %key.0.job, waited_s = now - job.at, "begun");
-                self.learned.waited(&job.spec.class, now - job.at);
+                if !fresh {
+                    self.learned.waited(&job.spec.class, now - job.at);
+                }
             }
             job.running = if runs {
                 job.running + 1
