First tasks take a sixteenth of the fleet at most; the closed-loop property is seeded

Hundreds of jobs had each one task put before all else. Change: first tasks that are alone and those to come hold a sixteenth of the CPUs at most.

--- a/crates/plan/tests/fair.rs
+++ b/crates/plan/tests/fair.rs
@@ -292,7 +292,12 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { max_shrink_iters: 0, ..ProptestConfig::with_cases(6) })]
+    // The same six cases in every run, and those that failed once.
+    #![proptest_config(ProptestConfig {
+        max_shrink_iters: 0,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(2026),
+        ..ProptestConfig::with_cases(6)
+    })]
 
     /// No class that could be served half is served less, whatever the load up to
     /// three times the fleet, and no task is stopped more often than the policy says.
--- a/src/coordination/order.rs
+++ b/src/coordination/order.rs
@@ -220,6 +220,15 @@
             })
             .collect();
         firsts.sort_by(|a, b| a.within.total_cmp(&b.within));
+        // A sixteenth of the fleet at most: where hundreds of jobs wait, a task of each is
+        // what half of a class could have been done with.
+        let beginning = self.jobs.values().filter(|j| j.only_beginning());
+        let mut left = self.capacity().1 / 16.0 - beginning.map(|j| j.spec.cpus).sum::<f64>();
+        firsts.retain(|e| {
+            let fits = left > 0.0;
+            left -= e.need.cpus;
+            fits
+        });
         order.jobs.splice(0..0, firsts);
     }
 
