One name for how long a worker waits for an answer

Cause: hearing.rs and sessions.rs each had the 4 s of the protocol as a constant of their own. Change: one constant; no behaviour changes. Tables of hearing and core pass, 31 of 31.

--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -2,17 +2,13 @@
 //! and when silence proves a machine empty.
 
 use super::core::Core;
-use super::hearing::{Sign, Signs};
+use super::hearing::{Sign, Signs, PATIENCE_S};
 use super::job::{Name, TaskId};
 use super::machine::{Active, Machine, Standing};
 use super::room::Room;
 use crate::protocol::worker::{Cause, Command, Direct, Phase, Reply, Report, ReportHead};
 use crate::storage::records::MachineInfo;
 
-/// For how long a worker waits for an answer before it gives a report up: one that
-/// was overtaken by a newer message is not older than that.
-const PATIENCE_S: f64 = 4.0;
-
 /// How a message came to us.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Via {
