--- a/crates/world/src/history.rs
+++ b/crates/world/src/history.rs
@@ -32,6 +32,8 @@
         machine: String,
         done: bool,
     },
+    /// Somebody asked about a job that was accepted: whether there was an answer.
+    Asked { job: String, answered: bool },
     /// A fault was made.
     Fault { what: String },
     /// A limit of a team, and for how long a cancelled job's tasks may stay.
@@ -67,6 +69,17 @@
 }
 
 impl History {
+    /// Jobs that a user was told are accepted, or known.
+    pub fn accepted(&self) -> Vec<String> {
+        let entries = self.entries.lock().unwrap_or_else(|e| e.into_inner());
+        let jobs = entries.iter().filter_map(|e| match &e.event {
+            Event::Told { job, what, .. } if what != "refused" => Some(job.clone()),
+            _ => None,
+        });
+        let jobs: std::collections::BTreeSet<String> = jobs.collect();
+        jobs.into_iter().collect()
+    }
+
     pub fn now(&self) -> f64 {
         self.start.elapsed().as_secs_f64()
     }
@@ -85,6 +98,35 @@
     }
 }
 
+/// For how long questions about a job may be in vain once no fault is made any more.
+pub const FORGOTTEN_S: f64 = 75.0;
+
+/// Jobs about which no question was answered for too long after the last fault, each by
+/// itself: that others are answered is no excuse.
+fn forgotten(entries: &[Entry]) -> Vec<String> {
+    let faults = entries
+        .iter()
+        .filter(|e| matches!(e.event, Event::Fault { .. }));
+    let calm = faults.map(|e| e.at).fold(f64::NEG_INFINITY, f64::max);
+    let mut since: BTreeMap<&str, f64> = BTreeMap::new();
+    let mut lost = Vec::new();
+    for Entry { at, event } in entries.iter().filter(|e| e.at >= calm) {
+        let Event::Asked { job, answered } = event else {
+            continue;
+        };
+        if *answered {
+            since.remove(job.as_str());
+            continue;
+        }
+        let first = *since.entry(job).or_insert(*at);
+        if at - first > FORGOTTEN_S && !lost.contains(&job.as_str()) {
+            lost.push(job);
+        }
+    }
+    let told = |job: &&str| format!("forgotten: {job} had no answer for {FORGOTTEN_S} s");
+    lost.iter().map(told).collect()
+}
+
 /// Holds a history against the rules; each broken one in a sentence.
 pub fn check(entries: &[Entry]) -> Vec<String> {
     let mut broken = Vec::new();
@@ -182,9 +224,10 @@
                     _ => {}
                 }
             }
-            Event::Fault { .. } => {}
+            Event::Fault { .. } | Event::Asked { .. } => {}
         }
     }
+    broken.extend(forgotten(entries));
     if done.is_empty() {
         broken.push("nothing_ran: no task was done".into());
     }
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -98,6 +98,35 @@
     controllers: Arc<Mutex<Vec<Controller>>>,
 }
 
+/// Most jobs asked about in one round.
+const ASKED: usize = 40;
+
+/// Asks about jobs that were accepted as their users do, every 5 s over a connection of its
+/// own, and notes which were answered: the checker holds it against the rule that no known
+/// job stays without an answer.
+async fn ask_on(history: History, front: SocketAddr) {
+    let builder = reqwest::Client::builder().no_proxy();
+    let Ok(client) = builder.pool_max_idle_per_host(0).build() else {
+        return;
+    };
+    loop {
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let mut jobs = history.accepted();
+        while jobs.len() > ASKED {
+            jobs.swap_remove(rand::random_range(0..jobs.len()));
+        }
+        for job in jobs {
+            let (history, client) = (history.clone(), client.clone());
+            actix_web::rt::spawn(async move {
+                let request = client.get(format!("http://{front}/work/{job}"));
+                let asked = request.timeout(Duration::from_secs(2)).send().await;
+                let answered = asked.is_ok_and(|r| r.status() == 200);
+                history.add(Event::Asked { job, answered });
+            });
+        }
+    }
+}
+
 fn free() -> std::io::Result<TcpListener> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     listener.set_nonblocking(true)?;
@@ -192,6 +221,7 @@
         let front = balancer.local_addr()?;
         let fronts: Vec<SocketAddr> = places.iter().map(|p| p.front).collect();
         balancer::run(balancer, fronts.clone(), trouble.clone());
+        actix_web::rt::spawn(ask_on(history.clone(), front));
         let world = World {
             site,
             history,
--- a/crates/world/tests/history.rs
+++ b/crates/world/tests/history.rs
@@ -125,3 +125,47 @@
         assert!(error.contains(field), "{to}: {error}");
     }
 }
+
+/// Guards against counting by averages: of two jobs the one without an answer is found,
+/// from the last fault on, and not before its time is over.
+#[test]
+fn a_job_without_answers_is_forgotten_however_others_fare() {
+    let asked = |at: f64, job: &str, answered: bool| Entry {
+        at,
+        event: Event::Asked {
+            job: job.into(),
+            answered,
+        },
+    };
+    // Asked every 5 s until then; the last fault; the job's one answer; forgotten.
+    for (until, fault, answer, lost) in [
+        (70.0, 0.0, None, false),
+        (85.0, 0.0, None, true),
+        (85.0, 40.0, None, false),
+        (125.0, 40.0, None, true),
+        (125.0, 40.0, Some(80.0), false),
+    ] {
+        let mut entries = vec![Entry {
+            at: 0.0,
+            event: off("run-1/0", 1, "m"),
+        }];
+        let fault_at = fault;
+        let mut at = 0.0;
+        while at <= until {
+            if at == fault_at {
+                let what = "kill".into();
+                entries.push(Entry {
+                    at,
+                    event: Event::Fault { what },
+                });
+            }
+            entries.push(asked(at, "run-1", answer == Some(at)));
+            entries.push(asked(at, "run-2", true));
+            at += 5.0;
+        }
+        let broken = check(&entries);
+        let found = broken.iter().any(|b| b.starts_with("forgotten: run-1"));
+        assert_eq!(found, lost, "{until} {fault} {answer:?}: {broken:?}");
+        assert!(!broken.iter().any(|b| b.contains("run-2")));
+    }
+}
