An owner answers workers only while it knows all cancellations told

An owner is entitled only while it knows every cancellation told until cancel_s less a worker's lease ago: by its watch, as far as its ownership was checked as late, or by the word of all other controllers of what they told users. A successor counts on that silence too, so its fence opens after that bound and a lease instead of six. The canceller tells the owner by the mesh as well, which may be lost. What is over does not come back by an older answer.

--- a/src/app.rs
+++ b/src/app.rs
@@ -277,9 +277,10 @@
         match node.state.txn(&txn, Lane::Data).await {
             Ok(_) => {
                 tracing::info!(job = %id, "cancelled");
-                node.finals.borrow_mut().put(&id, last);
-                if let Some(core) = node.core.borrow_mut().as_mut() {
-                    core.job_over(&id);
+                node.learnt_final(&id, last);
+                match node.core.borrow_mut().as_mut() {
+                    Some(core) => core.job_over(&id),
+                    None => tell_owner(&node, &id),
                 }
                 dispatch::drain(&node);
                 ledger::sweep_marks(node.get_ref().clone(), id.as_str().into(), last.tasks);
@@ -292,6 +293,19 @@
     elsewhere(&node)
 }
 
+/// Tells the owner of a cancellation, which it learns from its watch as well, but
+/// not while the state service is away or it is behind. It may be lost: what bounds
+/// the time is `member::cover`.
+fn tell_owner(node: &Rc<Node>, id: &str) {
+    let Some(addr) = node.other_owner().and_then(|o| node.peer(&o)) else {
+        return;
+    };
+    let (node, ask) = (node.clone(), Ask::Over(id.to_string()));
+    actix_rt::spawn(async move {
+        let _ = node.mesh.ask(addr, &ask).await;
+    });
+}
+
 /// Live jobs at a glance, from whoever owns the share.
 async fn overview(node: Shared) -> HttpResponse {
     let own = node.core.borrow().as_ref().map(|c| c.overview(node.now()));
@@ -391,6 +405,13 @@
     if let Ask::Promise(term) = ask {
         member::promise(&node, term);
     }
+    if let Ask::Over(id) = &ask {
+        if let Some(core) = node.core.borrow_mut().as_mut() {
+            core.job_over(id);
+        }
+        dispatch::drain(&node);
+        return HttpResponse::Ok().body(mesh::encode(&Answer::Agreed));
+    }
     let reply = match (ask, node.core.borrow().as_ref()) {
         (Ask::Progress(id), Some(core)) => match core.progress(&id) {
             Some((done, running)) => Answer::Progress { done, running },
@@ -411,6 +432,13 @@
             let recent = node.turned_away.borrow_mut().recent(node.now());
             Answer::TurnedAway(recent)
         }
+        (Ask::Told(term, for_ms), _) if node.tenure.borrow().speaks_to(term) => {
+            let for_s = for_ms as f64 / 1000.0;
+            match node.told_over.borrow().within(for_s, node.now()) {
+                Some(jobs) => Answer::Told(jobs),
+                None => Answer::NotMine,
+            }
+        }
         _ => Answer::NotMine,
     };
     HttpResponse::Ok().body(mesh::encode(&reply))
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -28,6 +28,10 @@
 /// Most names of returned machines kept: a fleet and a half of the largest.
 const RETURNED: usize = 2048;
 
+/// Most names of jobs that are over kept: an answer overtaken by as many ends is of
+/// minutes ago and was given up.
+const ENDED: usize = 1024;
+
 /// Machine types by name.
 pub type Types = HashMap<String, MachineType, RandomState>;
 
@@ -92,6 +96,9 @@
     pub wall_offset_s: f64,
     /// Revision up to which the watch of live jobs has told us everything.
     pub followed: u64,
+    /// Jobs known to be over, the latest ones: an older answer, of a submission of
+    /// our own say, must not bring one back.
+    pub(super) ended: Names,
     /// Latest time passed in.
     pub(super) now: f64,
     /// Since when we listen without a gap: what we did not hear while we stood
@@ -152,6 +159,7 @@
             record_dirty: false,
             wall_offset_s: 0.0,
             followed: 0,
+            ended: Names::default(),
             now: 0.0,
             listening_since: f64::NEG_INFINITY,
             index: Index::default(),
@@ -245,7 +253,7 @@
             }
             return;
         }
-        if version <= self.followed {
+        if version <= self.followed || self.ended.contains(&id) {
             // An answer that came after the watch had already told of this
             // record, and of its end: the job is over and forgotten.
             return;
@@ -265,10 +273,12 @@
 
     /// The job is over, by the record: nothing of it may start, all of it must go.
     pub fn job_over(&mut self, id: &str) {
-        let Some((name, _)) = self.jobs.get_key_value(id) else {
-            return;
-        };
-        let name = name.clone();
+        let known = self.jobs.get_key_value(id).map(|(name, _)| name.clone());
+        let name = known.unwrap_or_else(|| id.into());
+        self.ended.insert(name.clone());
+        if self.ended.len() > ENDED {
+            self.ended.shift_remove_index(0);
+        }
         let Some(job) = self.jobs.get_mut(&name) else {
             return;
         };
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -3,6 +3,7 @@
 
 use super::core::Core;
 use super::job::Name;
+use super::member::cover::blind_s;
 use super::node::Node;
 use crate::protocol::job::JobState;
 use crate::protocol::state::{Entry, Seen, Txn};
@@ -253,10 +254,12 @@
     }
 }
 
-fn followed(node: &Node, term: u64, revision: u64) {
+/// All changes up to `revision` are known, and all made before `asked_at`.
+fn followed(node: &Node, term: u64, revision: u64, asked_at: f64) {
     if let Some(core) = node.core.borrow_mut().as_mut() {
         if core.fence.base_term == term {
             core.followed = revision;
+            node.tenure.borrow_mut().watched(asked_at);
         }
     }
 }
@@ -270,9 +273,15 @@
 
 /// Follows the live jobs from `revision` on, as long as this core lasts.
 pub fn follow(node: Rc<Node>, term: u64, mut revision: u64) {
+    // Whoever owns the share may answer workers only while it knows of cancellations
+    // (`member::cover`): eight looks in that time, so that a few may be lost, or wait
+    // on a connection that a cut left behind.
+    let workers = &node.settings.cluster.workers;
+    let wait_s = (blind_s(workers.cancel_s, workers.lease_s) / 8.0).clamp(0.5, 20.0);
     actix_rt::spawn(async move {
         while ours(&node, term) {
-            match node.state.watch(records::LIVE, revision, 20.0).await {
+            let asked_at = node.now();
+            match node.state.watch(records::LIVE, revision, wait_s).await {
                 Ok(news) => {
                     revision = news.revision;
                     for event in news.events {
@@ -290,7 +299,7 @@
                             }
                         }
                     }
-                    followed(&node, term, revision);
+                    followed(&node, term, revision, asked_at);
                     super::dispatch::drain(&node);
                 }
                 Err(Failure::Gone) => {
@@ -307,7 +316,7 @@
                         for entry in entries {
                             take_entry(&node, term, entry);
                         }
-                        followed(&node, term, revision);
+                        followed(&node, term, revision, asked_at);
                         super::dispatch::drain(&node);
                     }
                 }
--- a/src/coordination/member/claim.rs
+++ b/src/coordination/member/claim.rs
@@ -85,6 +85,7 @@
     for info in written.machines() {
         core.inherit(info.clone(), now);
     }
+    let listed_at = node.now();
     let (jobs, revision) = node.state.list(records::LIVE, Lane::Control).await?;
     for entry in jobs {
         let Ok(record) = entry.read::<LiveJob>() else {
@@ -95,8 +96,12 @@
         core.job_added(record, entry.version, extra);
     }
     core.followed = revision;
+    // Of ours alone nobody else could tell: cancellations that we wrote meanwhile.
+    let now = node.now();
+    let ours = node.told_over.borrow().within(now - listed_at, now);
+    ours.iter().flatten().for_each(|id| core.job_over(id));
     // Much may have happened while all this was read, or while we stood still.
-    if !node.tenure.borrow_mut().begin(share.term) {
+    if !node.tenure.borrow_mut().begin(share.term, listed_at) {
         tracing::warn!(term = share.term, "share lost while it was read");
         return Ok(());
     }
--- a/src/coordination/member/mind.rs
+++ b/src/coordination/member/mind.rs
@@ -25,6 +25,7 @@
         }
         super::look_after_share(&node);
         seek_vouches(&node);
+        seek_words(&node);
         seek_promises(&node);
         learn_quiet(&node);
         note_drained(&node).await;
@@ -75,6 +76,34 @@
     }
 }
 
+/// While we hear nothing of cancellations asks the others what they told users.
+fn seek_words(node: &Rc<Node>) {
+    let due = node.tenure.borrow_mut().words_due(node.now());
+    let Some((term, gap_s)) = due else {
+        return;
+    };
+    for peer in &node.settings.peers {
+        let (node, ask) = (
+            node.clone(),
+            Ask::Told(term, (gap_s * 1000.0).ceil() as u64),
+        );
+        let (name, addr) = (peer.name.clone(), peer.addr);
+        actix_rt::spawn(async move {
+            let asked_at = node.now();
+            let Some(Answer::Told(jobs)) = node.mesh.ask(addr, &ask).await else {
+                return;
+            };
+            // First the knowledge, then what rests on it.
+            if let Some(core) = node.core.borrow_mut().as_mut() {
+                jobs.iter().for_each(|id| core.job_over(id));
+            }
+            let now = node.now();
+            node.tenure.borrow_mut().word(term, &name, asked_at, now);
+            crate::coordination::dispatch::drain(&node);
+        });
+    }
+}
+
 /// After a takeover asks the others never to vouch for an earlier owner.
 fn seek_promises(node: &Rc<Node>) {
     let seeks = |c: &crate::coordination::core::Core| c.fence.quiet_since.is_none();
--- a/src/coordination/member/mod.rs
+++ b/src/coordination/member/mod.rs
@@ -3,6 +3,7 @@
 //! from what is decided in `tenure`; here is who talks to whom, and when.
 
 mod claim;
+pub mod cover;
 mod mind;
 mod record;
 mod steps;
@@ -241,7 +242,7 @@
     if node.claiming.get() {
         return;
     }
-    let claim = node.tenure.borrow().claim(now, now_ms);
+    let claim = node.tenure.borrow_mut().claim(now, now_ms);
     if let Some(claim) = claim {
         node.claiming.set(true);
         let node = node.clone();
--- a/src/coordination/member/taking.rs
+++ b/src/coordination/member/taking.rs
@@ -1,6 +1,7 @@
 //! Taking the share, and keeping it: the transactions, and what follows when
 //! their answers come, however late.
 
+use super::cover::Cover;
 use super::tenure::{Acting, Tenure};
 use crate::protocol::state::Txn;
 use crate::storage::records::{self, Prior, Share, Term};
@@ -27,7 +28,7 @@
 impl Tenure {
     /// The claim to make if the share may be taken: nobody has it, its owner's
     /// lease is gone, or it is our own from before a restart.
-    pub fn claim(&self, now: f64, now_ms: u64) -> Option<Claim> {
+    pub fn claim(&mut self, now: f64, now_ms: u64) -> Option<Claim> {
         if !self.view.loaded || self.acting.is_some() || self.resigned(now) {
             return None;
         }
@@ -54,8 +55,10 @@
                     prior.push(Prior {
                         host: old.owner.clone(),
                         boot: old.boot,
+                        // It knows nothing newer of cancellations than the check of
+                        // its ownership, and no word of ours from now on.
                         until_ms: now_ms
-                            + (self.terms.quiet_s * 1002.0) as u64
+                            + (self.terms.quiet_s.min(self.terms.blind_s) * 1002.0) as u64
                             + self.terms.bound_ms,
                     });
                 }
@@ -71,6 +74,7 @@
         let txn = txn
             .put(records::SHARE, &share)
             .put(records::TERM, &Term { term: share.term });
+        self.tried = Some(self.view.share_version());
         Some(Claim {
             txn,
             share,
@@ -104,9 +108,13 @@
 
     /// The share is read: from now on we act for it, unless it was lost
     /// meanwhile.
-    pub fn begin(&mut self, term: u64) -> bool {
+    ///
+    /// The live jobs were read after `listed_at`.
+    pub fn begin(&mut self, term: u64, listed_at: f64) -> bool {
         let holds = self.holds(term);
         if holds {
+            self.cover = Cover::default();
+            self.cover.watched(listed_at);
             self.acting = Some(Acting {
                 base_term: term,
                 term,
--- a/src/coordination/member/tenure.rs
+++ b/src/coordination/member/tenure.rs
@@ -16,6 +16,7 @@
 //! - Who promised for a later term acts under no earlier one, also if its own
 //!   claim of that term is answered only afterwards.
 
+use super::cover::Cover;
 use super::view::View;
 use super::vouch::{self, Round, Spans};
 use crate::coordination::fence::remaining;
@@ -33,6 +34,8 @@
     pub quiet_s: f64,
     /// A worker's lease, in seconds.
     pub lease_s: f64,
+    /// For how long an owner may answer workers on what it knew of cancellations.
+    pub blind_s: f64,
     /// By how much the time of day may be off, in milliseconds.
     pub bound_ms: u64,
 }
@@ -82,8 +85,13 @@
     pub(super) acting: Option<Acting>,
     pub(super) vouches: Round,
     pub(super) promises: Round,
-    /// When the others were last asked for vouches and for promises.
-    pub(super) asked_at: (f64, f64),
+    /// What we know of cancellations.
+    pub(super) cover: Cover,
+    /// When the others were last asked for vouches, for promises, and for words.
+    pub(super) asked_at: (f64, f64, f64),
+    /// Version of the share record on which our last claim rested: until we see a
+    /// newer one it may yet be carried out.
+    pub(super) tried: Option<u64>,
     pub(super) taken_at: f64,
     /// Highest term of an owner that we know of by a promise or a claim of ours.
     pub(super) promised: u64,
@@ -103,7 +111,9 @@
             acting: None,
             vouches: Round::default(),
             promises: Round::default(),
-            asked_at: (f64::NEG_INFINITY, f64::NEG_INFINITY),
+            cover: Cover::default(),
+            asked_at: (f64::NEG_INFINITY, f64::NEG_INFINITY, f64::NEG_INFINITY),
+            tried: None,
             taken_at: f64::NEG_INFINITY,
             promised: 0,
             resigned_at: f64::NEG_INFINITY,
@@ -149,6 +159,7 @@
                 self.confirmed,
                 now,
             )
+            && now - self.cover.known(self.confirmed, &self.terms.peers) < self.terms.blind_s
     }
 
     /// Whether nobody can have taken the share from us: our lease in the state
@@ -270,6 +281,43 @@
         Some(acting.term)
     }
 
+    // Cancellations.
+
+    /// The watch of live jobs told all until after `asked_at`.
+    pub fn watched(&mut self, asked_at: f64) {
+        if self.acting.is_some() {
+            self.cover.watched(asked_at);
+        }
+    }
+
+    /// The term under which to ask the others what they told users, and over how
+    /// many seconds, if it is time: as for vouches.
+    pub fn words_due(&mut self, now: f64) -> Option<(u64, f64)> {
+        let acting = self.acting?;
+        let known = self.cover.known(self.confirmed, &self.terms.peers);
+        let due = now - known > self.terms.life_s / 2.0;
+        if !due || now - self.asked_at.2 < self.terms.life_s / 8.0 {
+            return None;
+        }
+        let gap_s = self.cover.gap_s(self.confirmed, now)?;
+        self.asked_at.2 = now;
+        Some((acting.term, gap_s))
+    }
+
+    /// A peer told all that it told users, when asked under this term at `asked_at`.
+    pub fn word(&mut self, term: u64, peer: &str, asked_at: f64, now: f64) {
+        // What was asked before another takeover of ours counts from a listing of then.
+        if self.acting.is_some_and(|a| a.base_term <= term) {
+            self.cover.word(peer, asked_at, now);
+        }
+    }
+
+    /// Whether to say what we told users to the owner under this term: that keeps it
+    /// answering workers, so not after a claim of ours that may count on its silence.
+    pub fn speaks_to(&self, term: u64) -> bool {
+        self.vouches_for(term) && self.tried.is_none_or(|v| self.view.share_version() > v)
+    }
+
     /// The term to ask promises for and who has not given one, if it is time.
     pub fn promise_due(&mut self, now: f64) -> Option<(u64, Vec<String>)> {
         let acting = self.acting?;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -4,9 +4,10 @@
 use super::core::Core;
 use super::fresh::{self, Reads};
 use super::health::Health;
+use super::member::cover::{blind_s, Told};
 use super::member::tenure::{Tenure, Terms};
 use super::reach::Tally;
-use crate::protocol::job::JobSpec;
+use crate::protocol::job::{JobSpec, JobState};
 use crate::protocol::mesh::Topic;
 use crate::protocol::policy::Policy;
 use crate::protocol::settings::Settings;
@@ -36,8 +37,10 @@
     pub fn get(&self, id: &str) -> Option<Final> {
         self.known.get(id).copied()
     }
-    pub fn put(&mut self, id: &str, state: Final) {
-        if self.known.insert(id.to_string(), state).is_none() {
+    /// True if it was not known.
+    pub fn put(&mut self, id: &str, state: Final) -> bool {
+        let new = self.known.insert(id.to_string(), state).is_none();
+        if new {
             self.order.push_back(id.to_string());
             if self.order.len() > Self::MOST {
                 if let Some(old) = self.order.pop_front() {
@@ -45,6 +48,7 @@
                 }
             }
         }
+        new
     }
 }
 
@@ -84,6 +88,8 @@
     /// Who owns the share, and what that rests on.
     pub tenure: RefCell<Tenure>,
     pub finals: RefCell<Finals>,
+    /// Cancellations that users were told of by us.
+    pub told_over: RefCell<Told>,
     /// Our share's machine record as it is written, by chunk.
     pub written: RefCell<Written>,
     /// Direct calls to workers under way.
@@ -120,6 +126,7 @@
             // former owner lasts if no majority of promises is had.
             quiet_s: policy.quiet_leases * workers.lease_s,
             lease_s: workers.lease_s,
+            blind_s: blind_s(workers.cancel_s, workers.lease_s),
             bound_ms: settings.cluster.time_bound_ms.ceil() as u64,
         };
         Rc::new(Node {
@@ -136,6 +143,7 @@
             core: RefCell::new(None),
             tenure: RefCell::new(Tenure::new(terms, draw_boot())),
             finals: RefCell::default(),
+            told_over: RefCell::default(),
             written: RefCell::default(),
             calls: Cell::new(0),
             drains_taken: Cell::default(),
@@ -149,6 +157,13 @@
         })
     }
 
+    /// Remembers a final state before a user is told of it.
+    pub fn learnt_final(&self, id: &str, state: Final) {
+        if self.finals.borrow_mut().put(id, state) && state.state == JobState::Cancelled {
+            self.told_over.borrow_mut().note(id, self.now());
+        }
+    }
+
     /// Steady time in seconds.
     pub fn now(&self) -> f64 {
         self.start.elapsed().as_secs_f64()
@@ -257,7 +272,7 @@
         match self.state.get(&records::fin(id), Lane::Data).await? {
             Some(entry) => {
                 let state: Final = entry.read().map_err(|_| Failure::Unknown)?;
-                self.finals.borrow_mut().put(id, state);
+                self.learnt_final(id, state);
                 Ok(Found::Final(state))
             }
             None => Ok(Found::Nothing),
--- a/src/protocol/mesh.rs
+++ b/src/protocol/mesh.rs
@@ -22,6 +22,11 @@
     Admin(Topic),
     /// For how long have you had contact to the state service without a gap?
     Contact,
+    /// This job's cancellation is written: stop what you run of it.
+    Over(String),
+    /// I own the share under this term and hear nothing of cancellations: which did
+    /// you tell users of, over so many milliseconds?
+    Told(u64, u64),
 }
 
 /// What operators look at.
@@ -57,6 +62,8 @@
     NotMine,
     /// For so many milliseconds.
     Contact(u64),
+    /// Cancelled jobs that users were told of: all of the time asked for.
+    Told(Vec<String>),
 }
 
 /// Encodes a message.
--- a/tests/pause.rs
+++ b/tests/pause.rs
@@ -7,8 +7,11 @@
 //! - no former owner would answer a worker once a later owner takes it to be
 //!   silent, and
 //! - no owner takes a check of its ownership for newer than the takeover by
-//!   which it lost it.
+//!   which it lost it, and
+//! - no owner would answer a worker without knowing every cancellation that any
+//!   user was told of a bounded time ago.
 
+use foxspur::coordination::member::cover::Told;
 use foxspur::coordination::member::taking::{Claim, Rewrite};
 use foxspur::coordination::member::tenure::{LeaseStep, Tenure, Terms};
 use foxspur::protocol::state::{Entry, Txn};
@@ -17,7 +20,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeSet, BinaryHeap};
 
 /// A worker's lease; a controller's own is a quarter of it.
 const LEASE_S: f64 = 16.0;
@@ -25,6 +28,9 @@
 /// How long an owner goes on at most: as long as by default, or so short that
 /// a claim carried out late matters.
 const QUIET_S: [f64; 3] = [6.0 * LEASE_S, 0.7 * LEASE_S, LEASE_S];
+/// For how long an owner answers workers on what it knew of cancellations: as at the
+/// fleets' sizes, in lives of its lease.
+const BLIND_S: [f64; 4] = [2.4 * LIFE_S, 6.0 * LIFE_S, 2.4 * LIFE_S, 4.0 * LIFE_S];
 const BOUND_MS: u64 = 1000;
 const TIMEOUT_S: f64 = 1.5;
 
@@ -42,6 +48,10 @@
     AliveOf(String, u64),
     List,
     Watch(u64),
+    /// A user's cancellation.
+    Cancel(u64),
+    /// All cancellations written, asked for at this time.
+    Live(f64),
 }
 
 enum Answer {
@@ -52,6 +62,7 @@
     Entry(Option<Entry>),
     Listed(Vec<Entry>, u64),
     News(Vec<Logged>, u64),
+    Over(BTreeSet<u64>),
     /// Refused, or given up: it may have been carried out, or may be later.
     Nothing,
 }
@@ -64,10 +75,14 @@
     Ask(usize, usize, bool, u64, f64),
     Agreed(usize, usize, bool, u64, f64),
     Loaded(usize, usize, u64),
+    /// From, to, term, over which time, when it was asked for.
+    AskTold(usize, usize, u64, f64, f64),
+    Told(usize, usize, u64, f64, Vec<String>),
 }
 
 #[derive(Clone, Copy)]
 enum Loop {
+    Live,
     Lease,
     Mind,
     Area,
@@ -92,6 +107,11 @@
     boots: u64,
     /// Acting: term of the takeover, and since when no former owner is left.
     core: Option<(u64, Option<f64>)>,
+    /// Cancellations that it told users of, and those that its core knows.
+    told: Told,
+    knows: BTreeSet<u64>,
+    /// What a takeover under way has read of them, and when it asked.
+    listed: (f64, BTreeSet<u64>),
 }
 
 struct World {
@@ -109,6 +129,14 @@
     calm: bool,
     woken_owners: usize,
     quiet_s: f64,
+    blind_s: f64,
+    /// Cancellations written, and those that a user was told of: when.
+    written: BTreeSet<u64>,
+    told: Vec<(f64, u64)>,
+    /// Since when the state service is away, and beats at which an owner goes on
+    /// although that is longer than it may without the others' words.
+    away_since: f64,
+    words: usize,
 }
 
 fn name(n: usize) -> String {
@@ -132,12 +160,18 @@
             calm: false,
             woken_owners: 0,
             quiet_s,
+            blind_s: BLIND_S[seed as usize % BLIND_S.len()],
+            written: BTreeSet::new(),
+            told: Vec::new(),
+            away_since: 0.0,
+            words: 0,
         };
         for n in 0..count {
+            let offset = world.rng.random_range(0.0..500.0);
             let node = Controller {
-                tenure: tenure(n, count, n as u64 + 1, quiet_s),
+                tenure: tenure(n, count, n as u64 + 1, quiet_s, world.blind_s),
                 start: 0,
-                offset: world.rng.random_range(0.0..500.0),
+                offset,
                 drift: world.rng.random_range(-0.0005..0.0005),
                 wall_off_ms: world.rng.random_range(-1000.0..1000.0),
                 paused_until: 0.0,
@@ -149,6 +183,9 @@
                 waiting: Vec::new(),
                 boots: 1,
                 core: None,
+                told: Told::since(offset),
+                knows: BTreeSet::new(),
+                listed: (0.0, BTreeSet::new()),
             };
             world.nodes.push(node);
             world.start(n);
@@ -165,7 +202,7 @@
 
     fn start(&mut self, n: usize) {
         let start = self.nodes[n].start;
-        for each in [Loop::Lease, Loop::Mind, Loop::Area] {
+        for each in [Loop::Lease, Loop::Mind, Loop::Area, Loop::Live] {
             self.at(self.now + 0.01, Event::Loop(n, start, each));
         }
     }
@@ -269,6 +306,11 @@
                 }
                 Answer::News(news, self.store.revision)
             }
+            Request::Cancel(id) => {
+                self.written.insert(*id);
+                Answer::Done(0)
+            }
+            Request::Live(_) => Answer::Over(self.written.clone()),
         };
         self.reply(n, start, id, request, answer);
     }
@@ -310,6 +352,8 @@
                 }
             }
             Loop::Area => self.ask(n, Request::List),
+            Loop::Live if self.nodes[n].core.is_none() => self.later(n, each, 0.3),
+            Loop::Live => self.ask(n, Request::Live(now)),
         }
     }
 
@@ -361,6 +405,15 @@
                 }
             }
         }
+        if let Some((term, gap_s)) = self.nodes[n].tenure.words_due(now) {
+            for peer in (0..self.nodes.len()).filter(|p| *p != n) {
+                let lost = self.now < self.nodes[n].cut_until || self.rng.random_bool(0.1);
+                if !lost {
+                    let ask = Event::AskTold(n, peer, term, gap_s, now);
+                    self.at(self.now + 0.005, ask);
+                }
+            }
+        }
         let quiet = self.nodes[n].tenure.quiet(now, self.wall_ms(n));
         let at = self.now;
         if let Some(core) = self.nodes[n].core.as_mut().filter(|_| quiet) {
@@ -398,6 +451,7 @@
                 let (start, term) = (self.nodes[n].start, claim.share.term);
                 let s = self.rng.random_range(0.02..2.0);
                 if holds {
+                    self.nodes[n].listed = (now, self.written.clone());
                     self.at(self.now + s, Event::Loaded(n, start, term));
                 } else {
                     self.nodes[n].claiming = false;
@@ -453,6 +507,19 @@
                 self.ask(n, Request::Watch(since));
             }
             (Request::List, _) => self.later(n, Loop::Area, 0.2),
+            (Request::Cancel(id), Answer::Done(_)) => {
+                self.nodes[n].told.note(&id.to_string(), now);
+                self.nodes[n].knows.insert(id);
+                self.told.push((self.now, id));
+            }
+            (Request::Cancel(_), _) => {}
+            (Request::Live(asked_at), answer) => {
+                if let Answer::Over(over) = answer {
+                    tenure.watched(asked_at);
+                    self.nodes[n].knows.extend(over);
+                }
+                self.later(n, Loop::Live, 0.3);
+            }
         }
     }
 
@@ -463,7 +530,10 @@
             Event::Loop(n, start, _) | Event::Reply(n, start, ..) | Event::Loaded(n, start, _) => {
                 Some((*n, Some(*start)))
             }
-            Event::Ask(_, n, ..) | Event::Agreed(n, ..) => Some((*n, None)),
+            Event::Ask(_, n, ..)
+            | Event::Agreed(n, ..)
+            | Event::AskTold(_, n, ..)
+            | Event::Told(n, ..) => Some((*n, None)),
             Event::Arrive(..) => None,
         };
         if let Some((n, start)) = to {
@@ -513,9 +583,34 @@
                     false => tenure.has_promised(term, &name(peer), asked_at, now),
                 }
             }
+            Event::AskTold(from, to, term, gap_s, asked_at) => {
+                let alone = |n: usize| self.now < self.nodes[n].island_until;
+                let now = self.local(to);
+                let node = &self.nodes[to];
+                let speaks = !alone(from) && !alone(to) && node.tenure.speaks_to(term);
+                if let Some(over) = node.told.within(gap_s, now).filter(|_| speaks) {
+                    let at = (self.now + 0.005).max(node.cut_until);
+                    self.at(at, Event::Told(from, to, term, asked_at, over));
+                }
+            }
+            Event::Told(n, peer, term, asked_at, over) => {
+                let now = self.local(n);
+                let node = &mut self.nodes[n];
+                let over = over.iter().filter_map(|id| id.parse::<u64>().ok());
+                node.knows.extend(over);
+                node.tenure.word(term, &name(peer), asked_at, now);
+            }
             Event::Loaded(n, _, term) => {
                 self.nodes[n].claiming = false;
-                if self.nodes[n].tenure.begin(term) {
+                let (listed_at, listed) = std::mem::take(&mut self.nodes[n].listed);
+                if self.nodes[n].tenure.begin(term, listed_at) {
+                    // What we told users ourselves while we read.
+                    let since_s = self.local(n) - listed_at;
+                    let ours = self.nodes[n].told.within(since_s, self.local(n));
+                    let ours = ours.into_iter().flatten();
+                    self.nodes[n].knows = listed;
+                    let ours = ours.filter_map(|id| id.parse::<u64>().ok());
+                    self.nodes[n].knows.extend(ours);
                     let quiet = self.nodes[n].tenure.view.share.as_ref();
                     let alone = quiet.is_some_and(|(s, _)| s.prior.is_empty());
                     self.nodes[n].core = Some((term, alone.then_some(self.now)));
@@ -534,7 +629,7 @@
             0..5 => self.pause(n, 3.0 * LEASE_S),
             5..7 => self.nodes[n].cut_until = self.now + for_s,
             7..9 => self.nodes[n].refused_until = self.now + for_s,
-            9 => self.away_until = self.now + for_s / 2.0,
+            9 => self.away_until = self.now + for_s * 1.5,
             10 => {
                 let now = self.local(n);
                 self.nodes[n].boots += 1;
@@ -562,6 +657,8 @@
                     false => 3.0,
                 };
                 let (count, quiet_s) = (self.nodes.len(), self.quiet_s);
+                let blind_s = self.blind_s;
+                let begins = self.local(n) + down_s;
                 let node = &mut self.nodes[n];
                 node.start += 1;
                 node.boots += 1;
@@ -570,15 +667,27 @@
                 node.waiting.clear();
                 node.paused_until = 0.0;
                 node.down_until = self.now + down_s;
-                node.tenure = tenure(n, count, 1000 * node.boots + n as u64, quiet_s);
+                node.told = Told::since(begins);
+                node.knows.clear();
+                node.tenure = tenure(n, count, 1000 * node.boots + n as u64, quiet_s, blind_s);
                 let (start, at) = (node.start, node.down_until + 0.01);
-                for each in [Loop::Lease, Loop::Mind, Loop::Area] {
+                for each in [Loop::Lease, Loop::Mind, Loop::Area, Loop::Live] {
                     self.at(at, Event::Loop(n, start, each));
                 }
             }
         }
     }
 
+    /// A user cancels a job at some controller.
+    fn cancel(&mut self) {
+        let n = self.rng.random_range(0..self.nodes.len());
+        let node = &self.nodes[n];
+        if node.down_until <= self.now && node.paused_until <= self.now {
+            self.next_id += 1;
+            self.ask(n, Request::Cancel(self.next_id));
+        }
+    }
+
     fn check(&self, seed: u64) {
         let awake = |c: &&Controller| c.paused_until <= self.now && c.down_until <= self.now;
         let quiet = |c: &Controller| c.core.filter(|c| c.1.is_some()).map(|c| c.0);
@@ -594,6 +703,17 @@
                 self.now,
                 name(n)
             );
+            // A cancellation that was told is known to who renews leases, with time
+            // for the last of them to end.
+            let early = self.told.iter().rev();
+            let early = early.skip_while(|(at, _)| *at >= self.now - self.blind_s * 1.002 - 0.01);
+            let unknown = early.take(9).find(|(_, id)| !node.knows.contains(id));
+            assert!(
+                !answers || unknown.is_none(),
+                "seed {seed}, {:.2}: {} answers and does not know of {unknown:?}",
+                self.now,
+                name(n)
+            );
             let lost = self.taken.iter().filter(|t| t.0 > base).map(|t| t.1);
             let lost = lost.fold(f64::MAX, f64::min);
             let confirmed = (node.tenure.confirmed() - node.offset) / (1.0 + node.drift);
@@ -622,6 +742,15 @@
                 let away = self.now < self.away_until;
                 if self.away && !away {
                     self.store.full_time(self.now);
+                } else if away && !self.away {
+                    self.away_since = self.now;
+                }
+                if away && self.now - self.away_since > self.blind_s {
+                    let goes_on = |n: &usize| {
+                        let node = &self.nodes[*n];
+                        node.core.is_some() && node.tenure.entitled(self.local(*n))
+                    };
+                    self.words += (0..self.nodes.len()).filter(goes_on).count();
                 }
                 self.away = away;
                 if !away {
@@ -631,6 +760,13 @@
                 self.calm = self.now > until - 120.0;
                 if !self.calm && self.rng.random_bool(0.015) {
                     self.trouble();
+                    // Often the last thing that a controller does before.
+                    if self.rng.random_bool(0.5) {
+                        self.cancel();
+                    }
+                }
+                if self.rng.random_bool(0.03) {
+                    self.cancel();
                 }
             }
             self.check(seed);
@@ -643,7 +779,7 @@
     }
 }
 
-fn tenure(n: usize, count: usize, boot: u64, quiet_s: f64) -> Tenure {
+fn tenure(n: usize, count: usize, boot: u64, quiet_s: f64, blind_s: f64) -> Tenure {
     let terms = Terms {
         me: name(n),
         peers: (0..count).filter(|p| *p != n).map(name).collect(),
@@ -651,6 +787,7 @@
         life_s: LIFE_S,
         quiet_s,
         lease_s: LEASE_S,
+        blind_s,
         bound_ms: BOUND_MS,
     };
     Tenure::new(terms, boot)
@@ -661,16 +798,18 @@
 /// docs/notes/pause.md for what breaks it.
 #[test]
 fn a_controller_that_wakes_does_not_act_on_its_past() {
-    let (mut takeovers, mut woken) = (0, 0);
+    let (mut takeovers, mut woken, mut words, mut told) = (0, 0, 0, 0);
     let seeds = std::env::var("SEEDS").ok().and_then(|s| s.parse().ok());
     for seed in 0..seeds.unwrap_or(60) {
         let mut world = World::new(seed, [3, 5, 7, 2][seed as usize % 4]);
         world.play(seed, 700.0);
         takeovers += world.taken.len();
         woken += world.woken_owners;
+        words += world.words;
+        told += world.told.len();
     }
     assert!(
-        takeovers > 400 && woken > 400,
-        "{takeovers} takeovers, {woken} owners woken: too weak"
+        takeovers > 400 && woken > 400 && words > 20 && told > 4000,
+        "{takeovers} takeovers, {woken} owners woken, {told} told, {words} words: too weak"
     );
 }
--- a/tests/tenure.rs
+++ b/tests/tenure.rs
@@ -8,6 +8,8 @@
 use foxspur_world::store::Store;
 
 const LIFE_S: f64 = 4.0;
+/// The watch of live jobs never falls behind in these cases.
+const WATCHED: f64 = f64::MAX;
 
 fn tenure(me: &str, peers: &[&str], boot: u64) -> Tenure {
     let terms = Terms {
@@ -17,6 +19,7 @@
         life_s: LIFE_S,
         quiet_s: 96.0,
         lease_s: 16.0,
+        blind_s: 24.0,
         bound_ms: 1000,
     };
     Tenure::new(terms, boot)
@@ -69,7 +72,7 @@
     read(&mut a, &store);
     let claim = a.claim(0.0, 0).expect("free");
     let version = store.apply(&claim.txn).expect("taken");
-    assert!(a.claimed(&claim, version, 0.0) && a.begin(1));
+    assert!(a.claimed(&claim, version, 0.0) && a.begin(1, WATCHED));
     enlist(&mut b, "b", &mut store, 0.0);
     read(&mut b, &store);
     Pair {
@@ -189,7 +192,7 @@
                 false => follow(&mut p.b, &p.store, version - 1),
             }
         }
-        assert!(!p.b.begin(claim.share.term) && !p.b.entitled(20.0));
+        assert!(!p.b.begin(claim.share.term, WATCHED) && !p.b.entitled(20.0));
     }
 }
 
