Copies of direct starts are refused once the task is forgotten

And a start without an answer stayed possible until the term was raised by a write, so for the whole of an outage.

Change: each term comes with 4,096 tokens, which the counter of terms passes over, and a machine is raised by its owner without a write. The answer that has it forget an attempt carries a token above that of any call with its start; a lost start is ruled out the same way. While a call is under way nothing is raised. A machine that has had all tokens wants a new term.

Found on the way by the same simulation, machines that count anew: a session that cannot have begun yet is of an earlier life; a start in flight to a machine that was back at once lives for a lease from then.

--- a/examples/owner.rs
+++ b/examples/owner.rs
@@ -96,7 +96,7 @@
     let Ok(head) = serde_json::from_str::<ReportHead>(&text) else {
         return false;
     };
-    if core.repeats(&head, now) {
+    if core.repeats(&head, now).is_some() {
         return true;
     }
     let tasks = head.tasks;
--- a/src/app.rs
+++ b/src/app.rs
@@ -362,14 +362,9 @@
     };
     let now = node.now();
     if let Some(core) = node.core.borrow_mut().as_mut() {
-        if core.repeats(&head, now) {
-            return answer(
-                200,
-                &Reply {
-                    token: core.term,
-                    commands: Vec::new(),
-                },
-            );
+        if let Some(token) = core.repeats(&head, now) {
+            let commands = Vec::new();
+            return answer(200, &Reply { token, commands });
         }
     }
     let tasks = head.tasks;
--- a/src/coordination/commands.rs
+++ b/src/coordination/commands.rs
@@ -5,6 +5,7 @@
 use super::job::{Name, TaskId};
 use super::machine::{Active, Machine, Standing};
 use crate::protocol::worker::{Cause, Command, Direct, Phase};
+use crate::storage::records::TOKENS;
 
 impl Core {
     /// Whether an exited attempt can be forgotten by its worker: what it says
@@ -22,10 +23,18 @@
     }
 
     /// Commands for the answer to this report.
+    ///
+    /// A worker that forgot an attempt starts it anew when a copy of a direct call with
+    /// its start arrives, however late. (A task of a job cancelled long ago ran, and one
+    /// ran twice.) So the answer that has it forget one carries a token above that of
+    /// any such call, and copies are refused from then on.
     pub(super) fn orders(&mut self, name: &Name, order: (u64, u64), now: f64) -> Vec<Command> {
+        let term = self.term;
         let Some(m) = self.machines.get(name) else {
             return Vec::new();
         };
+        let token = m.token_under(term);
+        let mut raised = token;
         let mut forget = Vec::new();
         let mut forgets = Vec::new();
         let mut stops = Vec::new();
@@ -33,7 +42,12 @@
         for (key, active) in &m.active {
             let (task, attempt) = (key.0.wire(), key.1);
             if active.exited() {
-                if self.forgettable(key, active) {
+                let above = active.copies_to.map_or(token, |t| token.max(t + 1));
+                // A call under way would be refused under the higher token, and beyond
+                // the last one the share's term is raised first.
+                let can = above == token || !m.calling && above < term + TOKENS;
+                if can && self.forgettable(key, active) {
+                    raised = raised.max(above);
                     forgets.push(key.clone());
                     forget.push(Command::Forget { task, attempt });
                 }
@@ -50,6 +64,11 @@
         let Some(m) = self.machines.get_mut(name) else {
             return Vec::new();
         };
+        m.raised = raised;
+        if raised + 1 == term + TOKENS {
+            // All of the term's tokens are used: see `wants_new_term`.
+            self.limbo.insert(name.clone());
+        }
         for active in m.active.values_mut() {
             if !active.direct {
                 active.unsent = false;
@@ -80,6 +99,7 @@
     pub fn direct_call(&mut self, name: &Name, now: f64) -> Option<(String, Direct)> {
         let term = self.term;
         let m = self.machines.get_mut(name)?;
+        let token = m.token_under(term);
         if m.calling || m.standing == Standing::Expired {
             return None;
         }
@@ -99,6 +119,7 @@
                 });
             } else if active.phase.is_none() {
                 active.direct = true;
+                active.copies_to = Some(token);
                 commands.push(Command::Start { task, attempt });
             }
         }
@@ -111,7 +132,7 @@
             m.probed_at.get_or_insert(now);
         }
         let call = Direct {
-            token: term,
+            token,
             session: m.seen.0,
             commands,
         };
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -13,7 +13,7 @@
 use crate::protocol::policy::Policy;
 use crate::protocol::settings::{Objective, Settings, Team};
 use crate::storage::marks::Marks;
-use crate::storage::records::{LiveJob, MachineInfo};
+use crate::storage::records::{LiveJob, MachineInfo, TOKENS};
 use foldhash::fast::RandomState;
 use indexmap::IndexSet;
 use rand::rngs::SmallRng;
@@ -544,25 +544,30 @@
         }
     }
 
-    /// Whether a term bump is needed: a direct start without an answer stays
-    /// possible until a higher term is seen. An eighth of `cancel_s` leaves
-    /// time for that within the deadline of a cancellation.
+    /// A direct start without an answer stays possible until a higher token is seen:
+    /// its machine gets one, for which a write is not needed, and so not waited for in
+    /// an outage. An eighth of `cancel_s` leaves time within the deadline of a
+    /// cancellation. True where a machine has had all tokens of our term.
     pub fn wants_new_term(&mut self, now: f64) -> bool {
         let patience = self.params.cancel_s / 8.0;
-        let machines = &self.machines;
+        let (term, last) = (self.term, self.term + TOKENS - 1);
+        let machines = &mut self.machines;
+        let mut used_up = false;
         self.limbo.retain(|name| {
-            machines
-                .get(name)
-                .is_some_and(|m| m.active.values().any(|a| a.limbo.is_some()))
+            let Some(m) = machines.get_mut(name) else {
+                return false;
+            };
+            let token = m.token_under(term);
+            let mut limbo = m.active.values().filter_map(|a| a.limbo).peekable();
+            let lingers = limbo.peek().is_some();
+            if !m.calling && limbo.any(|(t, at)| t >= token && now - at > patience) {
+                m.raised = (token + 1).min(last);
+                m.repeated = None;
+            }
+            used_up |= m.raised == last;
+            lingers || m.raised == last
         });
-        self.limbo.iter().filter_map(|n| machines.get(n)).any(|m| {
-            m.standing != Standing::Expired
-                && now - m.heard < self.params.silent_s()
-                && m.active.values().any(|a| {
-                    a.limbo
-                        .is_some_and(|(term, at)| term >= self.term && now - at > patience)
-                })
-        })
+        used_up
     }
 
     /// A higher term was written for this share.
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -4,7 +4,7 @@
 use super::job::{Name, TaskId};
 use super::room::Room;
 use crate::protocol::worker::{Cause, Phase};
-use crate::storage::records::MachineInfo;
+use crate::storage::records::{MachineInfo, TOKENS};
 use std::collections::BTreeMap;
 
 /// An attempt that is on a machine, or may be.
@@ -25,6 +25,9 @@
     pub hello: Option<(u64, u64)>,
     /// A direct call with the start is under way.
     pub direct: bool,
+    /// Highest token of the direct calls with its start so far: as long as the machine
+    /// has seen none above, a copy of one starts it again once it is forgotten.
+    pub copies_to: Option<u64>,
     /// A direct call with the start, under this term, had no answer: it may be
     /// executed until a higher term or a newer session is seen.
     pub limbo: Option<(u64, f64)>,
@@ -50,6 +53,7 @@
             shown: (0, 0),
             hello: None,
             direct: false,
+            copies_to: None,
             limbo: None,
             unsent: true,
             told: false,
@@ -107,8 +111,10 @@
     pub proven: bool,
     /// Newest message seen: session and sequence number.
     pub seen: (u64, u64),
-    /// Highest term the machine is known to have seen.
+    /// Highest token the machine is known to have seen.
     pub token: u64,
+    /// The token that it gets from us, if that is above our term.
+    pub raised: u64,
     /// Reported under our term since we took over.
     pub fenced: bool,
     /// When its present session was first seen; a session has a lease of its
@@ -162,6 +168,7 @@
             proven: false,
             seen: (0, 0),
             token: 0,
+            raised: 0,
             fenced: false,
             fenced_at: now,
             session_at: now,
@@ -186,6 +193,12 @@
         }
     }
 
+    /// The token of answers and calls to it, under this term of ours. Whatever it was
+    /// raised for, one beyond the term's own would be a later owner's.
+    pub fn token_under(&self, term: u64) -> u64 {
+        self.raised.clamp(term, term + TOKENS - 1)
+    }
+
     pub fn has_image(&self, image: &str) -> bool {
         self.images.iter().any(|(name, _)| name == image)
     }
@@ -231,6 +244,15 @@
         self.hearing.doubted_s(now).is_some_and(|s| s > longer_s)
     }
 
+    /// Whether this session cannot have come after the one we know: each between them
+    /// lasts a lease. It is of an earlier life of a machine that counts anew. (A late
+    /// answer to a call of a moment before the machine was back looked newer, and what
+    /// had just started on it was started elsewhere.)
+    pub fn early_session(&self, session: u64, lease_s: f64, now: f64) -> bool {
+        let between = session.saturating_sub(self.seen.0).saturating_sub(1);
+        self.seen != (0, 0) && now - self.session_at < between as f64 * lease_s * 0.999
+    }
+
     /// Attempts that hold room.
     pub fn holding(&self) -> impl Iterator<Item = (&(TaskId, u64), &Active)> {
         self.active.iter().filter(|(_, a)| !a.exited())
--- a/src/coordination/member/taking.rs
+++ b/src/coordination/member/taking.rs
@@ -73,7 +73,7 @@
         };
         let txn = txn
             .put(records::SHARE, &share)
-            .put(records::TERM, &Term { term: share.term });
+            .put(records::TERM, &Term::taken(share.term));
         self.tried = Some(self.view.share_version());
         Some(Claim {
             txn,
@@ -88,7 +88,7 @@
     pub fn claimed(&mut self, claim: &Claim, version: u64, now: f64) -> bool {
         self.view.see_share(claim.share.clone(), version);
         if version >= self.view.term.1 {
-            self.view.term = (claim.share.term, version);
+            self.view.term = (Term::taken(claim.share.term).term, version);
         }
         if !self.holds(claim.share.term) || self.acting.is_some() {
             return false;
@@ -154,7 +154,7 @@
                 .when(records::SHARE, *version)
                 .when(records::TERM, self.view.term.1)
                 .put(records::SHARE, &share)
-                .put(records::TERM, &Term { term: share.term }),
+                .put(records::TERM, &Term::taken(share.term)),
             share,
             lease: None,
             term_too: true,
@@ -166,7 +166,7 @@
     pub fn rewritten(&mut self, rewrite: &Rewrite, version: u64) -> Option<u64> {
         self.view.see_share(rewrite.share.clone(), version);
         if rewrite.term_too && version >= self.view.term.1 {
-            self.view.term = (rewrite.share.term, version);
+            self.view.term = (Term::taken(rewrite.share.term).term, version);
         }
         // Stepped down and taken again meanwhile: this was about another time.
         let same = self.holds(rewrite.share.term);
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -7,7 +7,7 @@
 use super::machine::{Active, Machine, Standing};
 use super::room::Room;
 use crate::protocol::worker::{Cause, Command, Direct, Phase, Reply, Report, ReportHead};
-use crate::storage::records::MachineInfo;
+use crate::storage::records::{MachineInfo, TOKENS};
 
 /// How a message came to us.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -49,12 +49,11 @@
 
 impl Core {
     /// Whether the report says just what the one before said and there is
-    /// nothing to tell the worker; then it is taken in, and the answer is our
-    /// term and no command. Most reports of a large fleet are like this.
-    pub fn repeats(&mut self, head: &ReportHead, now: f64) -> bool {
-        let Some(m) = self.machines.get_mut(&*head.machine) else {
-            return false;
-        };
+    /// nothing to tell the worker; then it is taken in, and the answer is this
+    /// token and no command. Most reports of a large fleet are like this.
+    pub fn repeats(&mut self, head: &ReportHead, now: f64) -> Option<u64> {
+        let m = self.machines.get_mut(&*head.machine)?;
+        let token = m.token_under(self.term);
         let same = m.standing == Standing::Up
             && m.fenced
             && m.recorded
@@ -64,7 +63,7 @@
             && m.notice_at.is_none()
             && head.notice_s.is_none()
             && head.token == m.token
-            && head.token <= self.term
+            && head.token <= token
             && head.session == m.seen.0
             && head.seq > m.seen.1
             && head.addr == m.info.addr
@@ -73,10 +72,10 @@
             m.seen.1 = head.seq;
             m.heard = now;
             m.answered = Some(now);
-            m.hearing.answered(self.term);
+            m.hearing.answered(token);
             self.passes(now);
         }
-        same
+        same.then_some(token)
     }
 
     /// Remembers the report's task list if the same one again would tell
@@ -91,7 +90,7 @@
     /// Takes in a report and says what to answer.
     pub fn hello(&mut self, report: &Report, now: f64) -> Answer {
         self.passes(now);
-        if report.token > self.term {
+        if report.token >= self.term + TOKENS {
             return Answer::Superseded;
         }
         let name: Name = report.machine.as_str().into();
@@ -118,6 +117,8 @@
         // its worker waits for the answer; by then the next one is due.
         let overtaken_s = PATIENCE_S.max(1.5 * self.params.report_s);
         let order = (report.session, report.seq);
+        let early = m.standing != Standing::Expired
+            && m.early_session(report.session, self.params.lease_s, now);
         if m.standing == Standing::Expired {
             if report.session <= m.seen.0 {
                 // Answering would renew a lease that was declared over.
@@ -131,7 +132,7 @@
         let stale = order <= m.seen;
         // A machine keeps the highest term it has seen: newer with a lower one is of
         // an earlier life of a machine that counts anew.
-        let other_life = !stale && report.token < m.token;
+        let other_life = early || !stale && report.token < m.token;
         if other_life || stale && now - m.heard.max(listening) > overtaken_s {
             // A copy of an old report, or a machine that counts anew: its session is
             // not the one we know, and nothing says what it runs. Its lease must end
@@ -156,15 +157,14 @@
             }
             commands = self.orders(&name, order, now);
         }
+        let mut token = self.term;
         if let Some(m) = self.machines.get_mut(&name) {
+            token = m.token_under(self.term);
             m.answered = Some(now);
-            m.hearing.answered(self.term);
+            m.hearing.answered(token);
             m.repeated = None;
         }
-        Answer::Orders(Reply {
-            token: self.term,
-            commands,
-        })
+        Answer::Orders(Reply { token, commands })
     }
 
     /// Takes in what came of a direct call with these starts.
@@ -206,7 +206,9 @@
         }
         match result {
             CallResult::Executed(report) | CallResult::Rejected(report) => {
-                let newer = (report.session, report.seq) > m.seen && report.token >= m.token;
+                let early = m.early_session(report.session, self.params.lease_s, now);
+                let newer =
+                    (report.session, report.seq) > m.seen && report.token >= m.token && !early;
                 if report.machine == **name && newer {
                     if m.standing == Standing::Expired {
                         // A new session: its own report readmits it. The old
--- a/src/coordination/silence.rs
+++ b/src/coordination/silence.rs
@@ -30,6 +30,10 @@
             // beginning, although no report of it was answered yet.
             let last = m.answered.map_or(m.session_at, |t| t.max(m.session_at));
             let last = m.anew_at.map_or(last, |t| last.max(t));
+            // A machine that was back at once may have begun to count when the call
+            // with a start came, which then lives for a lease.
+            let flying = m.active.values().filter(|a| a.phase.is_none());
+            let last = flying.map(|a| a.sent).fold(last, f64::max);
             let own = last + lease;
             let from = if m.fenced {
                 Some(own.max(m.fenced_at + lease))
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -66,12 +66,29 @@
     format!("{MACHINES}{chunk:04}")
 }
 
-/// The counter of terms.
+/// Tokens that an owner may give under one term: its term itself and those above it,
+/// up to this many, for single machines (`share`'s owner raises a machine's token
+/// without a write, see `Core::token_of`). The counter passes over all of them, so that
+/// later terms, also those of older programs, are higher than any. One costs a report
+/// and a call that were answered, so this many last for hours; with it and 24 bits for
+/// the count of attempts, a hundred thousand takeovers stay below 2^53.
+pub const TOKENS: u64 = 1 << 12;
+
+/// The counter of terms: the highest token that anyone may have given.
 #[derive(Serialize, Deserialize, Clone, Debug, Default)]
 pub struct Term {
     pub term: u64,
 }
 
+impl Term {
+    /// The counter when this term is taken.
+    pub fn taken(term: u64) -> Term {
+        Term {
+            term: term + TOKENS - 1,
+        }
+    }
+}
+
 /// A controller that is alive; `boot` differs for each start of its process.
 #[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
 pub struct Alive {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -11,15 +11,19 @@
 use foxspur::protocol::job::Urgency;
 use foxspur::protocol::worker::{Cause, Command, Phase, Report};
 use foxspur::storage::marks::Marks;
-use foxspur::storage::records::Prior;
+use foxspur::storage::records::{Prior, Term, TOKENS};
 
-fn orders(core: &mut Core, report: &Report, now: f64) -> Vec<Command> {
+fn answer(core: &mut Core, report: &Report, now: f64) -> (u64, Vec<Command>) {
     match core.hello(report, now) {
-        Answer::Orders(reply) => reply.commands,
+        Answer::Orders(reply) => (reply.token, reply.commands),
         other => panic!("{other:?}"),
     }
 }
 
+fn orders(core: &mut Core, report: &Report, now: f64) -> Vec<Command> {
+    answer(core, report, now).1
+}
+
 fn starts(commands: &[Command]) -> Vec<(String, u64)> {
     let start = |c: &Command| match c {
         Command::Start { task, attempt } => Some((task.clone(), *attempt)),
@@ -138,12 +142,13 @@
         !reply.iter().any(|c| matches!(c, Command::Forget { .. })),
         "{reply:?}"
     );
-    // A higher term that the machine has seen rules the copy out.
+    // A higher token that the machine has seen rules the copy out: it gets one of its
+    // own, for which nothing is written.
     let late = 2.0 + CANCEL_S / 8.0;
     orders(&mut core, &report("m1", 1, 4, 5, &failed), late);
-    assert!(core.wants_new_term(late));
-    core.raise_term(6);
-    orders(&mut core, &report("m1", 1, 5, 5, &failed), late + 0.5);
+    assert!(!core.wants_new_term(late));
+    let (token, _) = answer(&mut core, &report("m1", 1, 5, 5, &failed), late + 0.5);
+    assert_eq!(token, 6);
     let reply = orders(&mut core, &report("m1", 1, 6, 6, &failed), late + 1.0);
     assert!(
         reply.iter().any(|c| matches!(c, Command::Forget { .. })),
@@ -151,6 +156,84 @@
     );
 }
 
+/// A worker that forgot an attempt starts it once more if a copy of the direct call
+/// with its start comes: a task cancelled long ago ran on, others ran twice. Whoever is
+/// told to forget one is told a token above the call's, and no call is overtaken by it.
+#[test]
+fn a_copy_of_a_direct_start_is_refused_once_the_task_is_forgotten() {
+    let mut core = core(free(), 5, &["m1"]);
+    orders(&mut core, &report("m1", 1, 1, 5, &[]), 0.0);
+    let (name, mut seq, mut token) = ("m1".into(), 1, 5);
+    for (n, other_call) in [(1, false), (2, true), (3, false)] {
+        let (id, now) = (format!("run-{n}"), f64::from(n) * 10.0);
+        seq += 1;
+        orders(&mut core, &report("m1", 1, seq, token, &[]), now);
+        add(&mut core, spec(&id, "t", Urgency::Standard, 1, 1.0), now);
+        core.place(now);
+        let (_, call) = core.direct_call(&name, now).expect("a direct call");
+        let (task, attempt) = starts(&call.commands)[0].clone();
+        assert_eq!(call.token, token);
+        let failed = [(task.as_str(), attempt, Phase::Exited, Some(Cause::Error))];
+        core.job_over(&id);
+        let mut next = || {
+            seq += 1;
+            report("m1", 1, seq, token, &failed)
+        };
+        if other_call {
+            // Still under way: a higher token would have the machine refuse it.
+            let early = answer(&mut core, &next(), now + 0.5);
+            assert!(early.0 == call.token && early.1.is_empty(), "{early:?}");
+        }
+        core.called(&name, &call, CallResult::Executed(next()), now + 1.0);
+        let (told, commands) = answer(&mut core, &next(), now + 2.0);
+        assert!(matches!(commands[..], [Command::Forget { .. }]));
+        assert!(told > call.token, "a copy under {} starts it", call.token);
+        token = told;
+        seq += 1;
+        orders(&mut core, &report("m1", 1, seq, token, &[]), now + 3.0);
+    }
+    // A report under a machine's own token is no sign of another owner, one beyond
+    // all of them is, and the next term is above them all.
+    let verdict = core.hello(&report("m1", 1, 99, 5 + TOKENS, &[]), 50.0);
+    assert!(matches!(verdict, Answer::Superseded));
+    assert!(Term::taken(5).term + 1 == 5 + TOKENS);
+}
+
+/// Where a machine has had all tokens of a term, the term is raised by a write.
+#[test]
+fn a_machine_that_used_up_its_tokens_wants_a_new_term() {
+    let mut core = core(free(), 5, &["m1"]);
+    orders(&mut core, &report("m1", 1, 1, 5, &[]), 0.0);
+    let name = "m1".into();
+    let (mut seq, mut token, mut raised) = (1, 5, 0);
+    for n in 0..TOKENS + 9 {
+        let (id, now) = (format!("run-{n}"), 1.0 + n as f64);
+        seq += 1;
+        token = answer(&mut core, &report("m1", 1, seq, token, &[]), now).0;
+        add(&mut core, spec(&id, "t", Urgency::Standard, 1, 1.0), now);
+        core.place(now);
+        let (_, call) = core.direct_call(&name, now).expect("a direct call");
+        let (task, attempt) = starts(&call.commands)[0].clone();
+        let failed = [(task.as_str(), attempt, Phase::Exited, Some(Cause::Error))];
+        core.job_over(&id);
+        seq += 1;
+        let result = CallResult::Executed(report("m1", 1, seq, token, &failed));
+        core.called(&name, &call, result, now + 0.1);
+        if core.wants_new_term(now) {
+            raised += 1;
+            core.raise_term(5 + TOKENS);
+        }
+        seq += 1;
+        let (told, commands) = answer(&mut core, &report("m1", 1, seq, token, &failed), now + 0.2);
+        assert!(commands.len() == 1 && told > token, "{n}: {commands:?}");
+        token = told;
+        seq += 1;
+        orders(&mut core, &report("m1", 1, seq, token, &[]), now + 0.3);
+        core.sweep();
+    }
+    assert!(raised == 1 && token > 5 + TOKENS, "{raised} {token}");
+}
+
 /// Malformed, old or reordered reports change nothing.
 #[test]
 fn old_reports_change_nothing() {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -159,7 +159,11 @@
             core.job_over("run-1");
         }
         let head: ReportHead = serde_json::from_str(&text).unwrap();
-        assert_eq!(core.repeats(&head, 2.0), repeats, "{text} {stopped}");
+        assert_eq!(
+            core.repeats(&head, 2.0).is_some(),
+            repeats,
+            "{text} {stopped}"
+        );
         let answered = core.machines["m1"].answered;
         assert_eq!(answered, Some(if repeats { 2.0 } else { 1.0 }));
     }
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -13,7 +13,7 @@
 use foxspur::protocol::job::Urgency;
 use foxspur::protocol::worker::{Cause, Command, Direct, Phase, Reply, Report};
 use foxspur::storage::marks::Marks;
-use foxspur::storage::records::{LiveJob, MachineInfo};
+use foxspur::storage::records::{LiveJob, MachineInfo, TOKENS};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -435,6 +435,12 @@
                         .0
                         .called(&name, &call, CallResult::Unknown, now);
                 } else {
+                    if self.rng.random_bool(0.1) {
+                        // Carried out, and once more from seconds to several leases later.
+                        let late = now + self.rng.random_range(1.0..4.0 * LEASE_S);
+                        let copy = Message::Direct(w, base, call.clone(), true);
+                        self.wire.push((late, copy));
+                    }
                     self.send(Message::Direct(w, base, call, false));
                 }
             }
@@ -493,7 +499,7 @@
                     core.set_drains(&self.drains);
                 }
                 if core.wants_new_term(now) {
-                    self.term += 1;
+                    self.term += TOKENS;
                     core.raise_term(self.term);
                 }
             }
@@ -585,7 +591,7 @@
     }
 
     fn take_over(&mut self, crash: bool) {
-        self.term += 1;
+        self.term += TOKENS;
         if crash {
             self.owners.pop();
         } else if let Some(old) = self.owners.last_mut() {
@@ -690,7 +696,7 @@
             }
             ids.insert(id);
         }
-        if !calm && world.rng.random_bool(0.002) {
+        if !calm && world.rng.random_bool(0.006) {
             if let Some(id) = world.live.keys().next().cloned() {
                 world.live.remove(&id);
                 world.over.insert(id.clone(), (now, true));
