Kept connections are counted against what is to spare now; cancel_s is checked

Cause: the pool was begun anew only for addresses that were not known, by what was to spare when they came; with 1,903 machines the owner still stood at 3,198 of 3,198 sockets. Logged by kind: 1,904 of workers and users, 900 kept ones.

Change: the others are counted at each call, three sixteenths stay free. Settings whose cancel_s leaves less than a report beside a lease end the start with the field and the figure needed. The load line names sockets open and kept.

--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -89,7 +89,9 @@
                 }
                 if this.beats % 32 == 0 {
                     core.sweep();
-                    tracing::info!("load {}", core.summary());
+                    let workers = &this.node.workers;
+                    let (open, kept) = (workers.share().incoming.get(), workers.kept());
+                    tracing::info!(open, kept, "load {}", core.summary());
                 }
             }
             drain(&this.node);
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -163,6 +163,14 @@
         if c.workers.lease_s <= c.workers.report_s {
             return bad("cluster.workers.lease_s", "is not above report_s");
         }
+        // An owner may answer workers on what it knows of cancellations for as long as
+        // `cancel_s` leaves beside a lease (`member::cover`): less than a report and
+        // nobody would be answered.
+        let least = 1.05 * (c.workers.lease_s + c.workers.report_s);
+        if c.workers.cancel_s < least {
+            let why = format!("is below 1.05 times lease_s and report_s together, {least:.2}");
+            return bad("cluster.workers.cancel_s", &why);
+        }
         if c.state.txn_ops < 4 {
             return bad("cluster.state.txn_ops", "is below 4");
         }
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -417,7 +417,12 @@
 impl WorkerClient {
     pub fn new(settings: &Settings) -> WorkerClient {
         let timeout_s = settings.cluster.workers.report_s.clamp(1.0, 4.0);
-        let share = Sockets::new(settings.cluster.quota.max_sockets);
+        WorkerClient::with_sockets(settings.cluster.quota.max_sockets, timeout_s)
+    }
+
+    /// For a process of so many sockets.
+    pub fn with_sockets(all: usize, timeout_s: f64) -> WorkerClient {
+        let share = Sockets::new(all);
         let sockets = (share.all / 4).clamp(8, 128);
         let pool = Pool {
             http: Http::new(timeout_s / 2.0, sockets),
@@ -431,6 +436,11 @@
         }
     }
 
+    /// Addresses to which a connection may be kept.
+    pub fn kept(&self) -> usize {
+        self.pool.borrow().addresses.len()
+    }
+
     /// The process's sockets.
     pub fn share(&self) -> &Sockets {
         &self.share
@@ -439,8 +449,9 @@
     /// The pool for a call to this address.
     fn pool(&self, addr: SocketAddr) -> Http {
         let mut pool = self.pool.borrow_mut();
-        let known = pool.addresses.contains(&addr);
-        if !known && pool.addresses.len() >= self.share.to_workers() {
+        // There may be fewer to spare than when the others were kept.
+        let others = pool.addresses.len() - usize::from(pool.addresses.contains(&addr));
+        if others >= self.share.to_workers() {
             pool.addresses.clear();
             // The old one goes with its last call.
             pool.http = Http::new(self.timeout_s / 2.0, self.sockets);
--- a/src/transport/sockets.rs
+++ b/src/transport/sockets.rs
@@ -32,11 +32,12 @@
         self.all / 16
     }
 
-    /// Kept to workers: an eighth, and what workers and users leave of theirs, less as
-    /// much again that stays free for our other calls and for who comes next.
+    /// Kept to workers: an eighth, and what workers and users leave of theirs, less
+    /// three sixteenths that stay free for our other calls, for who comes next, and for
+    /// those that are just being closed.
     pub fn to_workers(&self) -> usize {
-        let eighth = self.all / 8;
-        let left = self.all.saturating_sub(self.incoming.get() + eighth);
-        left.max(eighth).max(8)
+        let free = self.all * 3 / 16;
+        let left = self.all.saturating_sub(self.incoming.get() + free);
+        left.max(self.all / 8).max(8)
     }
 }
--- a/tests/cancel.rs
+++ b/tests/cancel.rs
@@ -20,7 +20,8 @@
     let peers = ["b", "c", "d"].map(String::from);
     // The watch, the check, words (who, asked at, came at), known as of.
     type Word = (&'static str, f64, f64);
-    let cases: [(&str, Option<f64>, f64, &[Word], f64); 8] = [
+    type Case = (&'static str, Option<f64>, f64, &'static [Word], f64);
+    let cases: [Case; 8] = [
         ("nothing yet", None, 9.0, &[], f64::NEG_INFINITY),
         ("the watch", Some(7.0), 9.0, &[], 7.0),
         ("the check is older", Some(7.0), 5.0, &[], 5.0),
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -131,6 +131,7 @@
         ("lease_s = 10.0", "lease_s = 0.5", "lease_s"),
         ("lease_s = 10.0", "lease_s = -1.0", "lease_s"),
         ("report_s = 1.0\n", "", "report_s"),
+        ("cancel_s = 40.0", "cancel_s = 11.5", "cancel_s: is below"),
         ("nodes = 2", "nodes = 3", "nodes"),
         (
             "host_name = \"berth-1\"",
--- a/tests/tenure.rs
+++ b/tests/tenure.rs
@@ -116,6 +116,28 @@
     assert!(p.store.apply(&late.txn).is_err());
 }
 
+/// Guards against an owner kept answering by the word of who is about to take over: a
+/// claim counts the owner's silence from when it was made, and one that had no answer may
+/// yet be carried out, until the record it rests on is seen to have changed.
+#[test]
+fn who_made_a_claim_says_nothing_to_the_owner() {
+    let mut p = pair();
+    assert!(p.b.speaks_to(1));
+    let late = p.lapse();
+    assert!(p.b.vouches_for(1) && !p.b.speaks_to(1));
+    // The owner is back, the record as it was: the claim is still good.
+    let since = p.store.revision;
+    p.back();
+    follow(&mut p.b, &p.store, since);
+    assert!(!p.b.speaks_to(1));
+    // It is written once more: the claim is void.
+    let since = p.store.revision;
+    let again = p.a.reassert(5.6).expect("the lease is new");
+    p.store.apply(&again.txn).expect("still ours");
+    follow(&mut p.b, &p.store, since);
+    assert!(p.b.speaks_to(1) && p.store.apply(&late.txn).is_err());
+}
+
 /// Guards against renewals of a lease got after the share was lost.
 #[test]
 fn a_new_lease_proves_nothing_before_the_record_is_written_under_it() {
