--- a/crates/world/src/cloud.rs
+++ b/crates/world/src/cloud.rs
@@ -22,6 +22,7 @@
     let Some(CameTo(addr)) = request.conn_data::<CameTo>().copied() else {
         return HttpResponse::InternalServerError().finish();
     };
+    machines.repeat(addr, &direct);
     loop {
         match machines.direct(addr, &direct) {
             Reached::Executed(report) => return HttpResponse::Ok().json(report),
@@ -46,6 +47,19 @@
 }
 
 impl Machines {
+    /// A copy of the call may come late, carried out or not; nobody reads the answer.
+    fn repeat(&self, addr: SocketAddr, direct: &Direct) {
+        let now = self.history.now();
+        if now >= self.lock().repeats_until || !rand::random_bool(0.25) {
+            return;
+        }
+        let (machines, direct, late_s) = (self.clone(), direct.clone(), self.late_s());
+        actix_web::rt::spawn(async move {
+            actix_web::rt::time::sleep(Duration::from_secs_f64(late_s)).await;
+            machines.direct(addr, &direct);
+        });
+    }
+
     fn direct(&self, addr: SocketAddr, direct: &Direct) -> Reached {
         let now = self.history.now();
         let mut inner = self.lock();
--- a/crates/world/src/machines.rs
+++ b/crates/world/src/machines.rs
@@ -48,6 +48,8 @@
     pub(crate) away_until: f64,
     /// Copies of reports follow, until then.
     copies_until: f64,
+    /// For how long direct commands are carried out once more, late.
+    pub(crate) repeats_until: f64,
     /// Jobs that users uploaded.
     pub(crate) jobs: HashMap<String, JobSpec>,
 }
@@ -83,6 +85,7 @@
                 next: 0,
                 away_until: 0.0,
                 copies_until: 0.0,
+                repeats_until: 0.0,
                 jobs: HashMap::new(),
             })),
             http: client.unwrap_or_default(),
@@ -133,10 +136,20 @@
         self.lock().copies_until = self.history.now() + s;
     }
 
-    /// Sends a copy of the report to some controller, seconds to three leases later;
+    /// For this long every fourth direct call comes once more.
+    pub fn repeat_commands(&self, s: f64) {
+        self.lock().repeats_until = self.history.now() + s;
+    }
+
+    /// How long a copy takes: a second to three leases.
+    pub(crate) fn late_s(&self) -> f64 {
+        rand::rng().random_range(1.0..3.0 * self.site.workers.lease_s)
+    }
+
+    /// Sends a copy of the report to some controller, late;
     /// nobody reads the answer.
     fn copy(&self, text: &str) {
-        let late_s = rand::rng().random_range(1.0..3.0 * self.site.workers.lease_s);
+        let late_s = self.late_s();
         let to = rand::rng().random_range(0..self.fronts.len());
         let request = self.http.post(format!("{}/hello", self.fronts[to].1));
         let request = request
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -19,8 +19,8 @@
 /// service), `state:S` and `cloud:S` (away), `die`, `hang:S` (a machine),
 /// `cut:N` (of a thousand answers), `reset:N` (the next answer after byte N),
 /// `delay:MS`, `deaf:S` (a machine whose reports arrive while it hears nothing),
-/// `late-reports:S` (copies of reports follow, up to three leases later), `island:S`
-/// (a controller loses the state service and the others, not its workers), `blink` (a
+/// `late-reports:S`, `late-commands:S` (copies of reports or of direct commands follow, up
+/// to three leases later), `island:S` (a controller loses the state service and the others, not its workers), `blink` (a
 /// controller ends and is back at once).
 #[derive(Debug, Clone, PartialEq)]
 pub struct Fault {
@@ -57,6 +57,7 @@
             "delay",
             "deaf",
             "late-reports",
+            "late-commands",
             "island",
             "blink",
         ];
@@ -262,6 +263,7 @@
                 self.links.cut(n, s);
             }
             "deaf" => what += &format!(" {:?}", self.machines.deafen(s)),
+            "late-commands" => self.machines.repeat_commands(s),
             "late-reports" => self.machines.copy_reports(s),
             "pause" => {
                 let world = self.clone();
--- a/tests/world.rs
+++ b/tests/world.rs
@@ -37,9 +37,31 @@
     ]);
 }
 
+/// Many jobs are cancelled while direct commands are carried out once more, late, an
+/// owner is refused, stands still, ends and is back, and the state service goes away
+/// right after answers.
+#[test]
+fn what_was_cancelled_stays_gone_whatever_is_repeated() {
+    let mut site = Site::parse(DEFAULT).unwrap();
+    site.load.cancelled = 0.3;
+    let faults = [
+        "late-commands:14@0",
+        "refuse:3@2",
+        "pause:3@4",
+        "blink@5/2",
+        "state:2@7",
+        "state:2@10",
+        "kill@8",
+    ];
+    play_site(site, &faults);
+}
+
 /// Plays a day on real processes; how many answers were cut.
 fn play_day(faults: &[&str]) -> usize {
-    let mut site = Site::parse(DEFAULT).unwrap();
+    play_site(Site::parse(DEFAULT).unwrap(), faults)
+}
+
+fn play_site(mut site: Site, faults: &[&str]) -> usize {
     site.load.jobs_per_s = 20.0;
     site.load.run_s = 0.3;
     site.restart_s = 1.0;
