A successor counts on silence only of owners that keep it; a check that could not fail

Cause, found by reading the change again: a new program that takes over from an older one, say while controllers are exchanged one by one, took it to be silent after the bound on cancellations, which the older program does not know; vouched for in a cut it goes on for six leases, and its tasks could run twice. And the test of "nothing is raised while a call is under way" passed without that guard: the start was in flight itself.

Change: the share record says whether its owner is bounded; without it the longer time counts. The test has another call under way.

Between programs of this version nothing differs.

--- a/src/coordination/member/taking.rs
+++ b/src/coordination/member/taking.rs
@@ -52,14 +52,17 @@
                     // looked at the clock, and had it come back since, the
                     // share record would have been written again.
                     txn = txn.when(&records::alive(&old.owner), 0);
+                    // It knows nothing newer of cancellations than the check of its
+                    // ownership, and no word of ours from now on. An older program
+                    // goes on all the same, for as long as it is vouched for.
+                    let silent_s = match old.bounded {
+                        true => self.terms.quiet_s.min(self.terms.blind_s),
+                        false => self.terms.quiet_s,
+                    };
                     prior.push(Prior {
                         host: old.owner.clone(),
                         boot: old.boot,
-                        // It knows nothing newer of cancellations than the check of
-                        // its ownership, and no word of ours from now on.
-                        until_ms: now_ms
-                            + (self.terms.quiet_s.min(self.terms.blind_s) * 1002.0) as u64
-                            + self.terms.bound_ms,
+                        until_ms: now_ms + (silent_s * 1002.0) as u64 + self.terms.bound_ms,
                     });
                 }
             }
@@ -70,6 +73,7 @@
             term: self.view.term.0 + 1,
             teams: self.terms.teams.clone(),
             prior,
+            bounded: true,
         };
         let txn = txn
             .put(records::SHARE, &share)
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -113,6 +113,10 @@
     pub teams: Vec<String>,
     #[serde(default)]
     pub prior: Vec<Prior>,
+    /// Its owner falls silent when it does not know of cancellations. An older program,
+    /// which does not, leaves this out.
+    #[serde(default)]
+    pub bounded: bool,
 }
 
 /// A machine of a share.
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -164,7 +164,7 @@
     let mut core = core(free(), 5, &["m1"]);
     orders(&mut core, &report("m1", 1, 1, 5, &[]), 0.0);
     let (name, mut seq, mut token) = ("m1".into(), 1, 5);
-    for (n, other_call) in [(1, false), (2, true), (3, false)] {
+    for (n, other_call) in [(1, false), (3, true), (5, false)] {
         let (id, now) = (format!("run-{n}"), f64::from(n) * 10.0);
         seq += 1;
         orders(&mut core, &report("m1", 1, seq, token, &[]), now);
@@ -179,12 +179,18 @@
             seq += 1;
             report("m1", 1, seq, token, &failed)
         };
+        core.called(&name, &call, CallResult::Executed(next()), now + 0.5);
         if other_call {
-            // Still under way: a higher token would have the machine refuse it.
-            let early = answer(&mut core, &next(), now + 0.5);
+            // Another one is under way: the machine would refuse it under a higher token.
+            let other = spec(&format!("run-{}", n + 1), "t", Urgency::Standard, 1, 1.0);
+            add(&mut core, other, now);
+            core.place(now + 0.6);
+            let (_, call) = core.direct_call(&name, now + 0.6).expect("a call");
+            let early = answer(&mut core, &next(), now + 0.7);
             assert!(early.0 == call.token && early.1.is_empty(), "{early:?}");
+            core.job_over(&format!("run-{}", n + 1));
+            core.called(&name, &call, CallResult::NotSent, now + 1.0);
         }
-        core.called(&name, &call, CallResult::Executed(next()), now + 1.0);
         let (told, commands) = answer(&mut core, &next(), now + 2.0);
         assert!(matches!(commands[..], [Command::Forget { .. }]));
         assert!(told > call.token, "a copy under {} starts it", call.token);
--- a/tests/tenure.rs
+++ b/tests/tenure.rs
@@ -4,7 +4,7 @@
 use foxspur::coordination::member::taking::Claim;
 use foxspur::coordination::member::tenure::{LeaseStep, Tenure, Terms};
 use foxspur::protocol::state::{Entry, Txn};
-use foxspur::storage::records::{self, Alive};
+use foxspur::storage::records::{self, Alive, Share};
 use foxspur_world::store::Store;
 
 const LIFE_S: f64 = 4.0;
@@ -138,6 +138,31 @@
     assert!(p.b.speaks_to(1) && p.store.apply(&late.txn).is_err());
 }
 
+/// Guards against a successor that counts on the silence of an owner of an older program,
+/// which does not fall silent when it does not know of cancellations: while they are
+/// exchanged one by one, it may be vouched for as long as ever.
+#[test]
+fn an_older_owner_is_given_its_longer_time() {
+    // Whether the record says so, how long after the claim it is silent, in seconds.
+    for (bounded, silent_s) in [(true, 24.0), (false, 96.0)] {
+        let mut p = pair();
+        let entry = p.store.get(records::SHARE).expect("taken");
+        let mut share = entry.read::<Share>().expect("reads");
+        assert!(share.bounded);
+        share.bounded = bounded;
+        let since = p.store.revision;
+        let txn = Txn::default().put(records::SHARE, &share);
+        p.store.apply(&txn).expect("written");
+        follow(&mut p.b, &p.store, since);
+        let claim = p.lapse();
+        let until = claim.share.prior.first().expect("a former owner").until_ms;
+        assert_eq!(until, 5000 + (silent_s * 1002.0) as u64 + 1000, "{bounded}");
+    }
+    // A record of an older program has no such field.
+    let old = r#"{"owner":"a","boot":1,"term":1,"teams":[]}"#;
+    assert!(serde_json::from_str::<Share>(old).is_ok_and(|s| !s.bounded));
+}
+
 /// Guards against renewals of a lease got after the share was lost.
 #[test]
 fn a_new_lease_proves_nothing_before_the_record_is_written_under_it() {
