--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -240,5 +240,5 @@
         .route("/admin/v1/rolls", web::post().to(rolls::start))
         .route("/admin/v1/rolls/turn", web::post().to(rolls::change))
         .route("/admin/v1/undrain", web::post().to(orders::undrain));
-    listen::serve(app, addr, CONNECTIONS).await
+    listen::serve(app, addr, CONNECTIONS, Rc::default(), listen::IDLE).await
 }
--- a/src/app.rs
+++ b/src/app.rs
@@ -442,7 +442,10 @@
 /// Starts everything and serves until the process is killed.
 pub async fn run(settings: Settings, policy: Policy) -> std::io::Result<()> {
     let node = Node::new(settings, policy);
-    let sockets = node.settings.cluster.quota.max_sockets;
+    let sockets = node.workers.share();
+    // Workers report and users poll several times in two leases.
+    let idle_s = (2.0 * node.settings.cluster.workers.lease_s).max(30.0);
+    let idle = std::time::Duration::from_secs_f64(idle_s);
     let data = Data::new(node.clone());
     let front = App::new()
         .app_data(data.clone())
@@ -453,13 +456,14 @@
         .route("/work", web::post().to(submit))
         .route("/work/{id}", web::get().to(query))
         .route("/work/{id}/cancel", web::post().to(cancel));
-    // A quarter of the sockets is left to our own calls.
-    listen::serve(front, node.settings.front, sockets * 5 / 8).await?;
+    let (most, open) = (sockets.front(), sockets.incoming.clone());
+    listen::serve(front, node.settings.front, most, open, idle).await?;
     let inner = App::new()
         .app_data(data)
         .app_data(PayloadConfig::new(MAX_BODY))
         .route("/mesh", web::post().to(mesh_call));
-    listen::serve(inner, node.settings.mesh_addr, sockets / 8).await?;
+    let addr = node.settings.mesh_addr;
+    listen::serve(inner, addr, sockets.mesh(), Rc::default(), listen::IDLE).await?;
     if let Some(addr) = node.policy.admin {
         actix_rt::spawn(crate::admin::run(node.clone(), addr));
     }
--- a/src/transport/clients.rs
+++ b/src/transport/clients.rs
@@ -2,6 +2,7 @@
 
 use super::budget::Budget;
 use super::http::{CallError, Http, Response};
+use super::sockets::Sockets;
 use crate::protocol::cloud::{Names, Page, Rental, TypeList};
 use crate::protocol::mesh::{self, Answer, Ask};
 use crate::protocol::settings::Settings;
@@ -9,6 +10,7 @@
 use crate::protocol::worker::{Direct, Report};
 use awc::http::Method;
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -379,14 +381,26 @@
 }
 
 /// Client of the workers.
+///
+/// A connection to a worker is kept for later calls, and the pool closes none before the
+/// next call to the same address: machines that are gone leave theirs behind, and with
+/// as many machines as sockets the process had none left (for its own lease, say). So
+/// the addresses that the pool may hold are counted, and where they are as many as there
+/// are sockets to spare, all are closed and the pool begins anew.
 #[derive(Clone)]
 pub struct WorkerClient {
-    http: Http,
+    pool: Rc<RefCell<Pool>>,
+    share: Sockets,
     /// Calls that can be under way at once.
     pub sockets: usize,
     timeout_s: f64,
 }
 
+struct Pool {
+    http: Http,
+    addresses: HashSet<SocketAddr>,
+}
+
 /// What came of direct commands.
 #[derive(Debug)]
 pub enum DirectOutcome {
@@ -403,20 +417,44 @@
 impl WorkerClient {
     pub fn new(settings: &Settings) -> WorkerClient {
         let timeout_s = settings.cluster.workers.report_s.clamp(1.0, 4.0);
-        let sockets = (settings.cluster.quota.max_sockets / 4).clamp(8, 128);
-        WorkerClient {
+        let share = Sockets::new(settings.cluster.quota.max_sockets);
+        let sockets = (share.all / 4).clamp(8, 128);
+        let pool = Pool {
             http: Http::new(timeout_s / 2.0, sockets),
+            addresses: HashSet::new(),
+        };
+        WorkerClient {
+            pool: Rc::new(RefCell::new(pool)),
+            share,
             sockets,
             timeout_s,
         }
     }
 
+    /// The process's sockets.
+    pub fn share(&self) -> &Sockets {
+        &self.share
+    }
+
+    /// The pool for a call to this address.
+    fn pool(&self, addr: SocketAddr) -> Http {
+        let mut pool = self.pool.borrow_mut();
+        let known = pool.addresses.contains(&addr);
+        if !known && pool.addresses.len() >= self.share.to_workers() {
+            pool.addresses.clear();
+            // The old one goes with its last call.
+            pool.http = Http::new(self.timeout_s / 2.0, self.sockets);
+        }
+        pool.addresses.insert(addr);
+        pool.http.clone()
+    }
+
     pub async fn send(&self, addr: SocketAddr, direct: &Direct) -> DirectOutcome {
         let Ok(body) = serde_json::to_vec(direct) else {
             return DirectOutcome::NotSent;
         };
         let sent = self
-            .http
+            .pool(addr)
             .call(addr, Method::POST, "/commands", Some(body), self.timeout_s)
             .await;
         match sent {
--- a/src/transport/listen.rs
+++ b/src/transport/listen.rs
@@ -13,13 +13,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// For how long a connection that is used now and then is kept.
+pub const IDLE: Duration = Duration::from_secs(120);
+
 /// Serves `app` at `addr` until the process ends. Connections beyond
 /// `max_connections` are closed at once, so that the sockets left over keep the
-/// controller's own calls going.
+/// controller's own calls going; `open` counts those that are open. One on which nothing
+/// came for `idle` is closed: the other side is gone.
 pub async fn serve<T, B>(
     app: App<T>,
     addr: SocketAddr,
     max_connections: usize,
+    open: Rc<Cell<usize>>,
+    idle: Duration,
 ) -> std::io::Result<()>
 where
     T: ServiceFactory<
@@ -37,7 +43,7 @@
     let listener = actix_rt::net::TcpListener::from_std(std_listener)?;
     let config = AppConfig::default();
     let factory = HttpService::build()
-        .keep_alive(KeepAlive::Timeout(Duration::from_secs(120)))
+        .keep_alive(KeepAlive::Timeout(idle))
         .client_request_timeout(Duration::from_secs(10))
         .client_disconnect_timeout(Duration::from_millis(500))
         .h1(map_config(
@@ -51,7 +57,6 @@
             .await
             .map_err(|_| std::io::Error::other("the HTTP service did not start"))?,
     );
-    let open = Rc::new(Cell::new(0usize));
     actix_rt::spawn(async move {
         loop {
             let stream: TcpStream = match listener.accept().await {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -5,3 +5,4 @@
 pub mod clients;
 pub mod http;
 pub mod listen;
+pub mod sockets;
--- /dev/null
+++ b/tests/cancel.rs
@@ -0,0 +1,221 @@
+//! What was cancelled is gone in time: what an owner knows of cancellations and as of
+//! when, and what may not bring a task back. tests/pause.rs and tests/simulation.rs look
+//! for the cases that are not here.
+
+mod common;
+
+use common::*;
+use foxspur::coordination::member::cover::{blind_s, Cover, Told};
+use foxspur::coordination::sessions::{Answer, CallResult};
+use foxspur::protocol::job::Urgency;
+use foxspur::protocol::worker::{Command, Phase};
+use foxspur::storage::marks::Marks;
+use foxspur::transport::sockets::Sockets;
+
+/// As of when all cancellations are known: by the watch, never later than the check of
+/// the ownership, or by the word of every other controller. (A majority's vouches kept
+/// an owner answering for six leases while users outside were told `withdrawn`.)
+#[test]
+fn an_owner_knows_as_of_what_was_asked() {
+    let peers = ["b", "c", "d"].map(String::from);
+    // The watch, the check, words (who, asked at, came at), known as of.
+    type Word = (&'static str, f64, f64);
+    let cases: [(&str, Option<f64>, f64, &[Word], f64); 8] = [
+        ("nothing yet", None, 9.0, &[], f64::NEG_INFINITY),
+        ("the watch", Some(7.0), 9.0, &[], 7.0),
+        ("the check is older", Some(7.0), 5.0, &[], 5.0),
+        (
+            "a majority is not all",
+            Some(7.0),
+            9.0,
+            &[("b", 20.0, 20.1), ("c", 20.0, 20.1)],
+            7.0,
+        ),
+        (
+            "all, as of the first asked",
+            Some(7.0),
+            9.0,
+            &[("b", 20.0, 20.1), ("c", 21.0, 21.1), ("d", 22.0, 22.1)],
+            20.0,
+        ),
+        (
+            "one came late: it stood still",
+            Some(7.0),
+            9.0,
+            &[("b", 20.0, 20.1), ("c", 20.0, 20.1), ("d", 20.0, 20.6)],
+            7.0,
+        ),
+        (
+            "an older word does not count back",
+            Some(7.0),
+            9.0,
+            &[
+                ("b", 20.0, 20.1),
+                ("c", 20.0, 20.1),
+                ("d", 20.0, 20.1),
+                ("d", 19.9, 20.2),
+            ],
+            20.0,
+        ),
+        (
+            "the watch is newer",
+            Some(30.0),
+            31.0,
+            &[("b", 20.0, 20.1), ("c", 20.0, 20.1), ("d", 20.0, 20.1)],
+            30.0,
+        ),
+    ];
+    for (what, watched, confirmed, words, known) in cases {
+        let mut cover = Cover::default();
+        watched.into_iter().for_each(|t| cover.watched(t));
+        for (peer, asked_at, now) in words {
+            cover.word(peer, *asked_at, *now);
+        }
+        assert_eq!(cover.known(confirmed, &peers), known, "{what}");
+    }
+    // Alone, there is nobody to tell anything.
+    assert_eq!(Cover::default().known(9.0, &[]), f64::NEG_INFINITY);
+    // The sum of the bound and a lease stays below `cancel_s`.
+    for (cancel_s, lease_s) in [(40.0, 10.0), (51.0, 31.0), (47.5, 17.5)] {
+        assert!(blind_s(cancel_s, lease_s) + 1.0006 * lease_s < cancel_s - 1.0);
+    }
+}
+
+/// A word covers all of the time asked for or is not given: a process knows nothing of
+/// its former life, and keeps the latest ones only.
+#[test]
+fn a_word_covers_the_time_asked_for() {
+    let mut told = Told::since(100.0);
+    told.note("run-1", 110.0);
+    told.note("run-2", 120.0);
+    for (for_s, now, word) in [
+        (5.0, 121.0, Some(vec!["run-2"])),
+        (15.0, 121.0, Some(vec!["run-2", "run-1"])),
+        (21.0, 121.0, Some(vec!["run-2", "run-1"])),
+        // It began since.
+        (21.1, 121.0, None),
+        (f64::INFINITY, 121.0, None),
+        (0.5, 121.0, Some(vec![])),
+    ] {
+        let word = word.map(|w| w.iter().map(|s| s.to_string()).collect::<Vec<_>>());
+        assert_eq!(told.within(for_s, now), word, "{for_s}");
+    }
+    for n in 0..4096 {
+        told.note(&format!("run-x{n}"), 130.0 + f64::from(n));
+    }
+    assert!(told.within(4115.0, 4230.0).is_none(), "some were let go");
+    assert!(told.within(100.0, 4230.0).is_some_and(|w| w.len() == 96));
+}
+
+/// What is known to be over does not come back by an older answer, of a submission of
+/// our own say, also where it was over before we heard of it.
+#[test]
+fn what_is_over_stays_over() {
+    for known_before in [true, false] {
+        let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+        assert!(matches!(
+            core.hello(&report("m1", 1, 1, 5, &[]), 0.0),
+            Answer::Orders(_)
+        ));
+        let record = live(spec("run-1", "t", Urgency::Standard, 1, 1.0), 0.0);
+        if known_before {
+            core.job_added(record.clone(), 7, Marks::default());
+        }
+        core.job_over("run-1");
+        core.sweep();
+        core.job_added(record, 7, Marks::default());
+        core.place(1.0);
+        assert!(core.direct_call(&"m1".into(), 1.0).is_none(), "it starts");
+    }
+}
+
+/// A machine that was back at once counts its sessions anew, and what its former life
+/// sent may come later: each session lasts a lease, so one cannot be three further on
+/// within a second. (What had just started was taken for gone and started elsewhere.)
+#[test]
+fn a_session_that_cannot_have_begun_is_of_an_earlier_life() {
+    // Sessions further on, how much later in leases, whether it can be.
+    for (further, leases, can) in [
+        (1, 0.1, true),
+        (3, 0.1, false),
+        (3, 1.9, false),
+        (3, 2.1, true),
+    ] {
+        let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+        core.hello(&report("m1", 1, 1, 5, &[]), 0.0);
+        let now = leases * LEASE_S;
+        let verdict = core.hello(&report("m1", 1 + further, 97, 5, &[]), now);
+        let taken = matches!(verdict, Answer::Orders(_));
+        assert_eq!(taken, can, "{further} further after {leases} leases");
+    }
+}
+
+/// A start that is on its way to a machine which was back at once lives for a lease from
+/// then, not from the last report that was answered.
+#[test]
+fn a_start_on_its_way_lives_for_a_lease() {
+    for (started_at, at, empty) in [
+        (2.0, LEASE_S + 1.0, false),
+        (2.0, LEASE_S + 2.5, true),
+        (0.1, LEASE_S + 1.0, true),
+    ] {
+        let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+        core.hello(&report("m1", 1, 1, 5, &[]), 0.0);
+        let job = spec("run-1", "t", Urgency::Standard, 1, 1.0);
+        add(&mut core, job, 0.0);
+        core.place(started_at);
+        let name = "m1".into();
+        let (_, call) = core.direct_call(&name, started_at).expect("a start");
+        assert!(matches!(call.commands[..], [Command::Start { .. }]));
+        core.called(&name, &call, CallResult::Unknown, started_at + 0.5);
+        // Ticks as they come, so that our own silence is none of the machine's.
+        for n in 0..=(at * 2.0) as u32 {
+            core.tick(f64::from(n) / 2.0, f64::from(n) / 2.0);
+        }
+        core.tick(at, at);
+        let gone = core.machines["m1"].active.is_empty();
+        assert_eq!(gone, empty, "started at {started_at}, looked at {at}");
+    }
+}
+
+/// A task that saves when its job is cancelled is ended by a second stop, at once and in
+/// every answer until it is seen to end.
+#[test]
+fn a_task_that_saves_is_ended() {
+    let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+    let mut job = spec("run-1", "t", Urgency::Standard, 1, 1.0);
+    (job.checkpoint_s, job.save_s) = (10.0, 5.0);
+    core.job_added(live(job, 0.0), 1, Marks::default());
+    let saving = [("run-1/0", 3, Phase::Saving, None)];
+    core.hello(&report("m1", 1, 1, 5, &saving), 0.0);
+    core.job_over("run-1");
+    let ends = |commands: &[Command]| {
+        let end = |c: &Command| matches!(c, Command::Stop { grace_s, .. } if *grace_s == 0.0);
+        commands.len() == 1 && commands.iter().all(end)
+    };
+    let (_, call) = core.direct_call(&"m1".into(), 0.1).expect("a stop");
+    assert!(ends(&call.commands));
+    core.called(&"m1".into(), &call, CallResult::Unknown, 1.0);
+    for seq in 2..5 {
+        let Answer::Orders(reply) = core.hello(&report("m1", 1, seq, 5, &saving), seq as f64)
+        else {
+            panic!("refused");
+        };
+        assert!(ends(&reply.commands), "answer {seq}: {:?}", reply.commands);
+    }
+}
+
+/// The parts of the sockets never sum to more than there are, and one for each worker of
+/// the largest fleets, and users beside them, is there.
+#[test]
+fn sockets_are_parted() {
+    for (all, workers) in [(800, 324), (2832, 1126), (3198, 1905), (32, 12)] {
+        let sockets = Sockets::new(all);
+        assert!(sockets.front() >= workers + workers / 10, "{all}");
+        for open in [0, workers, sockets.front()] {
+            sockets.incoming.set(open);
+            let used = open + sockets.mesh() + sockets.to_workers();
+            assert!(used <= all + 8 - all / 16, "{all}, {open} open: {used}");
+        }
+    }
+}
