A cancellation that a poll finds at the owner is known to its core at once

Cause, by reading for the gap: a cancellation whose transaction had no answer is carried out late; a poll, a repeated submission or a repeated cancellation at the owner finds the final state and tells the user. Only the watch told the core. If the state service then goes away, the words of the other controllers, all that an owner asks for, do not have it: it answers its workers on, and the job's tasks run past cancel_s.

Change: Node::learnt_final tells the core before the user is told.

--- a/src/app.rs
+++ b/src/app.rs
@@ -278,9 +278,8 @@
             Ok(_) => {
                 tracing::info!(job = %id, "cancelled");
                 node.learnt_final(&id, last);
-                match node.core.borrow_mut().as_mut() {
-                    Some(core) => core.job_over(&id),
-                    None => tell_owner(&node, &id),
+                if node.core.borrow().is_none() {
+                    tell_owner(&node, &id);
                 }
                 dispatch::drain(&node);
                 ledger::sweep_marks(node.get_ref().clone(), id.as_str().into(), last.tasks);
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -158,9 +158,18 @@
     }
 
     /// Remembers a final state before a user is told of it.
+    ///
+    /// Where the share is ours its core learns of it first: by the watch alone it may not
+    /// for longer than `cancel_s`. (A cancellation without an answer was carried out late,
+    /// a poll here found it and told the user; then the state service went away, and what
+    /// the other controllers told users, which is all that an owner asks for, did not
+    /// have it: the job's tasks ran on.)
     pub fn learnt_final(&self, id: &str, state: Final) {
         if self.finals.borrow_mut().put(id, state) && state.state == JobState::Cancelled {
             self.told_over.borrow_mut().note(id, self.now());
+            if let Some(core) = self.core.borrow_mut().as_mut() {
+                core.job_over(id);
+            }
         }
     }
 
--- a/tests/cancel.rs
+++ b/tests/cancel.rs
@@ -6,10 +6,14 @@
 
 use common::*;
 use foxspur::coordination::member::cover::{blind_s, Cover, Told};
+use foxspur::coordination::node::Node;
 use foxspur::coordination::sessions::{Answer, CallResult};
-use foxspur::protocol::job::Urgency;
+use foxspur::protocol::job::{JobState, Urgency};
+use foxspur::protocol::policy::Policy;
+use foxspur::protocol::settings::Settings;
 use foxspur::protocol::worker::{Command, Phase};
 use foxspur::storage::marks::Marks;
+use foxspur::storage::records::Final;
 use foxspur::transport::sockets::Sockets;
 
 /// As of when all cancellations are known: by the watch, never later than the check of
@@ -220,3 +224,35 @@
         }
     }
 }
+
+/// Whoever tells a user of a cancellation tells its own core first. (A cancellation
+/// without an answer was carried out late, and only a poll at the owner found it: the
+/// other controllers' words do not have it, and its tasks ran on in an outage.)
+#[test]
+fn a_cancellation_found_by_a_poll_at_the_owner_is_known_to_it() {
+    let settings = Settings::parse(SETTINGS).expect("good settings");
+    // Its clients need a runtime, though nothing is sent.
+    let system = actix_rt::System::new();
+    let node = system.block_on(async { Node::new(settings, Policy::default()) });
+    for (state, over) in [(JobState::Done, false), (JobState::Cancelled, true)] {
+        let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+        add(
+            &mut core,
+            spec("run-1", "t", Urgency::Standard, 2, 1.0),
+            0.0,
+        );
+        *node.core.borrow_mut() = Some(core);
+        let last = Final {
+            state,
+            tasks: 2,
+            done: 0,
+        };
+        node.finals.take();
+        node.learnt_final("run-1", last);
+        let core = node.core.borrow();
+        let job = core.as_ref().and_then(|c| c.jobs.get("run-1"));
+        assert_eq!(job.map(|j| j.over), Some(over), "{state:?}");
+        let told = node.told_over.borrow().within(0.0, 0.0).map(|t| t.len());
+        assert_eq!(told.is_some_and(|n| n > 0), over, "{state:?}");
+    }
+}
