A machine that counts anew: silence proves nothing, answers to calls outweigh reports

A direct start without an answer, sent to session 3 of its earlier life, was held up; the machine was silent for a lease, so proven empty, and the task started elsewhere; then its count came to session 3 and the held call was carried out.

Change: where a machine answers a call with something older than was known when it was called it counts anew (no machine that keeps to the protocol can). Then its starts in flight stay until a newer session, a higher token or its end; such an answer is the truth of its session; its reports are refused until the next session, and nothing new starts there.

--- a/crates/plan/src/sim.rs
+++ b/crates/plan/src/sim.rs
@@ -4,8 +4,9 @@
 
 use crate::draw::Draws;
 use crate::machine::{Book, JobFacts, Machine};
+use foxspur::coordination::calls::CallResult;
 use foxspur::coordination::core::Core;
-use foxspur::coordination::sessions::{Answer, CallResult};
+use foxspur::coordination::sessions::Answer;
 use foxspur::coordination::snapshot::Snapshot;
 use foxspur::protocol::admin::Drain;
 use foxspur::protocol::job::JobSpec;
--- a/src/coordination/commands.rs
+++ b/src/coordination/commands.rs
@@ -128,6 +128,7 @@
         }
         m.calling = true;
         m.called_at = now;
+        m.called_at_seen = m.seen;
         if !m.fenced {
             m.probed_at.get_or_insert(now);
         }
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -126,6 +126,9 @@
     pub heard: f64,
     /// When it reported as if it counted anew, and nothing newer came since.
     pub anew_at: Option<f64>,
+    /// It answered a call with something older than was known when it was called: it
+    /// counts anew, and may come to the session of a start that is still on its way.
+    pub recounts: bool,
     /// When a report of it was last answered.
     pub answered: Option<f64>,
     /// Whether it hears our answers.
@@ -148,6 +151,8 @@
     /// A direct call is under way.
     pub calling: bool,
     pub called_at: f64,
+    /// What was known to be newest of it when that began.
+    pub called_at_seen: (u64, u64),
     /// Calls in a row that ended without an answer.
     pub unanswered: u32,
     /// When it was first asked for a report under our term.
@@ -174,6 +179,7 @@
             session_at: now,
             heard: now,
             anew_at: None,
+            recounts: false,
             answered: None,
             hearing: Hearing::default(),
             notice_at: None,
@@ -186,6 +192,7 @@
             images: Vec::new(),
             calling: false,
             called_at: f64::NEG_INFINITY,
+            called_at_seen: (0, 0),
             unanswered: 0,
             probed_at: None,
             errors: Vec::new(),
@@ -236,6 +243,7 @@
             && self.strangers == 0
             && self.notice_at.is_none()
             && !self.hearing.doubted()
+            && !self.recounts
             && now - self.heard < silent_s
     }
 
@@ -253,6 +261,18 @@
         self.seen != (0, 0) && now - self.session_at < between as f64 * lease_s * 0.999
     }
 
+    /// Whether a start may yet be carried out in a session to come: of a machine that
+    /// counts its sessions anew silence proves nothing, only a newer session, a higher
+    /// token or its end does. (A start without an answer was held up until the count came
+    /// to its session, long after the lease had proven the machine empty: ran_twice.)
+    pub fn may_start_yet(&self) -> bool {
+        // Where it only looks so, for a copy of an old report may have come, just starts
+        // without an answer.
+        let copied = |a: &Active| self.recounts && a.copies_to.is_some_and(|t| t >= self.token);
+        let anew = self.recounts || self.anew_at.is_some();
+        anew && self.active.values().any(|a| a.in_flight() || copied(a))
+    }
+
     /// Attempts that hold room.
     pub fn holding(&self) -> impl Iterator<Item = (&(TaskId, u64), &Active)> {
         self.active.iter().filter(|(_, a)| !a.exited())
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //! preemption and the fleet. The `Core` and all it uses is pure code with
 //! passed-in time and a seeded generator; the actors around it do the talking.
 
+pub mod calls;
 pub mod commands;
 pub mod core;
 pub mod dispatch;
@@ -29,6 +30,7 @@
 pub mod rolls;
 pub mod room;
 pub mod sessions;
+mod shown;
 pub mod silence;
 pub mod snapshot;
 pub mod views;
--- a/src/coordination/sessions.rs
+++ b/src/coordination/sessions.rs
@@ -6,7 +6,7 @@
 use super::job::{Name, TaskId};
 use super::machine::{Active, Machine, Standing};
 use super::room::Room;
-use crate::protocol::worker::{Cause, Command, Direct, Phase, Reply, Report, ReportHead};
+use crate::protocol::worker::{Phase, Reply, Report, ReportHead};
 use crate::storage::records::{MachineInfo, TOKENS};
 
 /// How a message came to us.
@@ -28,15 +28,6 @@
     Superseded,
 }
 
-/// What came of a direct call, as far as the core cares.
-#[derive(Debug)]
-pub enum CallResult {
-    Executed(Report),
-    Rejected(Report),
-    NotSent,
-    Unknown,
-}
-
 fn info_of(report: &Report) -> MachineInfo {
     MachineInfo {
         id: report.machine.clone(),
@@ -60,6 +51,7 @@
             && m.strangers == 0
             && m.indexed
             && !m.hearing.doubted()
+            && !m.recounts
             && m.notice_at.is_none()
             && head.notice_s.is_none()
             && head.token == m.token
@@ -133,6 +125,9 @@
         // A machine keeps the highest term it has seen: newer with a lower one is of
         // an earlier life of a machine that counts anew.
         let other_life = early || !stale && report.token < m.token;
+        // Known to count anew: whether a report of this session is of its present life
+        // or of the one before cannot be told; the next session is.
+        let other_life = other_life || m.recounts && report.session <= m.seen.0;
         if other_life || stale && now - m.heard.max(listening) > overtaken_s {
             // A copy of an old report, or a machine that counts anew: its session is
             // not the one we know, and nothing says what it runs. Its lease must end
@@ -167,64 +162,8 @@
         Answer::Orders(Reply { token, commands })
     }
 
-    /// Takes in what came of a direct call with these starts.
-    pub fn called(&mut self, name: &Name, call: &Direct, result: CallResult, now: f64) {
-        self.passes(now);
-        let unknown = matches!(result, CallResult::Unknown);
-        if !matches!(result, CallResult::NotSent | CallResult::Rejected(_)) {
-            self.limbo.insert(name.clone());
-        }
-        let Some(m) = self.machines.get_mut(name) else {
-            return;
-        };
-        m.calling = false;
-        if matches!(result, CallResult::NotSent | CallResult::Unknown) {
-            m.unanswered += 1;
-        }
-        // Executed, by a message older than what we know that does not show it: the
-        // machine counts anew. Nothing tells what became of the start.
-        let old = |r: &Report| (r.session, r.seq) <= m.seen;
-        let old = matches!(&result, CallResult::Executed(r) if old(r));
-        for command in &call.commands {
-            let (Command::Start { task, attempt }
-            | Command::Stop { task, attempt, .. }
-            | Command::Forget { task, attempt }) = command;
-            let Some(task) = TaskId::parse(task) else {
-                continue;
-            };
-            if let Some(active) = m.active.get_mut(&(task, *attempt)) {
-                if matches!(command, Command::Start { .. }) {
-                    active.direct = false;
-                    // A newer session or term seen meanwhile rules it out.
-                    let untold = unknown || old && active.phase.is_none();
-                    if untold && m.seen.0 <= call.session && m.token <= call.token {
-                        active.limbo = Some((call.token, now));
-                    }
-                }
-                // What was not executed goes with the next report's answer.
-            }
-        }
-        match result {
-            CallResult::Executed(report) | CallResult::Rejected(report) => {
-                let early = m.early_session(report.session, self.params.lease_s, now);
-                let newer =
-                    (report.session, report.seq) > m.seen && report.token >= m.token && !early;
-                if report.machine == **name && newer {
-                    if m.standing == Standing::Expired {
-                        // A new session: its own report readmits it. The old
-                        // one was proven over: what is late says nothing.
-                        return;
-                    }
-                    self.take_in(name, &report, Via::Direct, now);
-                }
-            }
-            CallResult::NotSent | CallResult::Unknown => {}
-        }
-        self.settle(name);
-    }
-
     /// Reconciles a newer message with what we thought.
-    fn take_in(&mut self, name: &Name, report: &Report, via: Via, now: f64) {
+    pub(super) fn take_in(&mut self, name: &Name, report: &Report, via: Via, now: f64) {
         let base_term = self.fence.base_term;
         // What ended while we stood still says nothing of the machine's hearing.
         let steady = now - self.listening_since(now) > self.params.lease_s;
@@ -256,6 +195,7 @@
         m.seen = (report.session, report.seq);
         if newer_session {
             m.session_at = now;
+            m.recounts = false;
         }
         m.token = m.token.max(report.token);
         if report.token >= base_term && !m.fenced {
@@ -344,7 +284,7 @@
     }
 
     /// Forgets an attempt; the machine is to be indexed anew afterwards.
-    fn remove_attempt(&mut self, name: &Name, key: &(TaskId, u64)) {
+    pub(super) fn remove_attempt(&mut self, name: &Name, key: &(TaskId, u64)) {
         let mut removed = None;
         if let Some(m) = self.machines.get_mut(name) {
             removed = m.active.remove(key);
@@ -356,179 +296,4 @@
         }
         self.off(key);
     }
-
-    /// Removes stopped attempts that were never there once no copy is in flight.
-    pub fn settle(&mut self, name: &Name) {
-        let Some(m) = self.machines.get(name) else {
-            return;
-        };
-        let gone: Vec<_> = m
-            .active
-            .iter()
-            .filter(|(_, a)| a.phase.is_none() && a.stop.is_some() && !a.in_flight())
-            .map(|(k, _)| k.clone())
-            .collect();
-        for key in &gone {
-            self.remove_attempt(name, key);
-        }
-        if !gone.is_empty() {
-            self.reindex(name);
-        }
-    }
-
-    /// One task of a report; what it takes of the machine if its job is known.
-    fn take_entry(
-        &mut self,
-        name: &Name,
-        key: &(TaskId, u64),
-        phase: Phase,
-        cause: Option<Cause>,
-        holds: Option<Room>,
-        now: f64,
-    ) -> Sign {
-        let Some(m) = self.machines.get_mut(name) else {
-            return Sign::Nothing;
-        };
-        let mut fresh = false;
-        let active = m.active.entry(key.clone()).or_insert_with(|| {
-            fresh = true;
-            let mut adopted = Active::new(now, Room::default());
-            adopted.unsent = false;
-            adopted
-        });
-        active.shown = m.seen;
-        active.holds = holds.unwrap_or_default();
-        let was_exited = active.exited();
-        let sign = match std::mem::take(&mut active.told) {
-            true if active.phase == Some(phase) => Sign::Unheeded,
-            true => Sign::Heeded,
-            false => Sign::Nothing,
-        };
-        active.phase = Some(phase);
-        if phase == Phase::Running && active.running.is_none() {
-            active.running = Some(now);
-        }
-        let started = active.running;
-        let job = self.jobs.get_mut(&key.0.job).filter(|_| holds.is_some());
-        let Some(job) = job else {
-            // Its job is over, or was never accepted: it must go.
-            if phase != Phase::Exited && active.stop.is_none() {
-                active.stop = Some(0.0);
-                active.unsent = true;
-                self.outbox.insert(name.clone());
-            }
-            return sign;
-        };
-        let index = key.0.index;
-        let runs = phase != Phase::Exited && started.is_some();
-        if runs != active.counted {
-            active.counted = runs;
-            // One that is shown for the first time began before we knew of it.
-            if runs && job.begin() {
-                tracing::info!(job = %key.0.job, waited_s = now - job.at, "begun");
-                if !fresh {
-                    self.learned.waited(&job.spec.class, now - job.at);
-                }
-            }
-            job.running = if runs {
-                job.running + 1
-            } else {
-                job.running.saturating_sub(1)
-            };
-        }
-        if phase != Phase::Exited {
-            let on = job.on.get(&index).map(|(_, attempt)| *attempt);
-            let elsewhere = on.is_some_and(|attempt| attempt != key.1);
-            if on.is_none() {
-                // A former owner's task: adopted. It need not be the first
-                // report that shows it: a job can become known to us after its
-                // task did, and while that is being stopped it is still on.
-                job.set_on(index, name.clone(), key.1);
-                self.used.add(job.team, &job.spec, 1.0);
-            } else if elsewhere && job.add_copy(index, name.clone(), key.1) {
-                // One of the two reports is older, and we cannot tell which: as
-                // long as either may be on, the task must not start again. (The
-                // one seen first went with its session, the task started a third
-                // time while the other one ran: ran_twice.)
-                self.used.add(job.team, &job.spec, 1.0);
-            }
-            let unwanted = elsewhere || job.over || job.done.contains(index);
-            if fresh || phase == Phase::Running && started == Some(now) {
-                let spec = &job.spec;
-                let cache = self
-                    .types
-                    .get(&m.info.kind)
-                    .map_or(f64::MAX, |t| t.cache_gb);
-                if !m.has_image(&spec.image) {
-                    match self.holders.get_mut(&spec.image) {
-                        Some(holders) => holders.push(name.clone()),
-                        None => {
-                            let first = vec![name.clone()];
-                            self.holders.insert(spec.image.clone(), first);
-                        }
-                    }
-                }
-                m.used_image(&spec.image, spec.image_gb, cache);
-            }
-            if on.is_none() {
-                self.unbind(&key.0);
-            }
-            if unwanted {
-                self.stop(name, key, 0.0);
-            }
-            return sign;
-        }
-        if was_exited {
-            return sign;
-        }
-        active.cause = cause;
-        let spec = job.spec.clone();
-        match cause {
-            Some(Cause::Done) => {
-                job.set_done(index);
-                self.unwritten.insert(key.0.job.clone());
-                self.unbind(&key.0);
-                if let Some(m) = self.machines.get_mut(name) {
-                    m.errors.clear();
-                }
-                if let Some(at) = started {
-                    self.ran(&spec, now - at);
-                }
-            }
-            Some(Cause::Error) => {
-                job.failed_on.insert(name.clone());
-                job.failures += 1;
-                // A bad job is tried ever more rarely, and with one task, a good one
-                // at once.
-                if job.suspect() {
-                    job.retries += u32::from(job.on.len() <= 1);
-                    let tries = f64::from(job.retries + 1);
-                    job.not_before = now + self.params.report_s * tries.powi(2).min(100.0);
-                    if job.retries <= 1 {
-                        tracing::warn!(job = %key.0.job, machine = %name, "fails everywhere");
-                    }
-                    // It was not the machines' fault: a job of hundreds of tasks
-                    // would take a part of a healthy fleet out of use.
-                    for blamed in job.failed_on.iter() {
-                        if let Some(m) = self.machines.get_mut(blamed) {
-                            m.errors.retain(|j| *j != key.0.job);
-                        }
-                    }
-                } else if let Some(m) = self.machines.get_mut(name) {
-                    if job.has_succeeded() || !m.errors.contains(&key.0.job) {
-                        m.errors.push(key.0.job.clone());
-                    }
-                    tracing::info!(job = %key.0.job, task = index, machine = %name, "task failed");
-                }
-            }
-            Some(Cause::NoRoom | Cause::Busy | Cause::Unknown) => {
-                tracing::info!(task = %key.0.wire(), machine = %name, cause = ?cause, "start refused");
-                job.unknown = cause == Some(Cause::Unknown);
-                job.not_before = now + self.params.report_s / 2.0;
-            }
-            _ => {}
-        }
-        self.off(key);
-        sign
-    }
 }
--- /dev/null
+++ b/src/coordination/shown.rs
@@ -0,0 +1,166 @@
+//! One task of a report: adopted, counted, ended, or to be stopped.
+
+use super::core::Core;
+use super::hearing::Sign;
+use super::job::{Name, TaskId};
+use super::machine::Active;
+use super::room::Room;
+use crate::protocol::worker::{Cause, Phase};
+
+impl Core {
+    /// One task of a report; what it takes of the machine if its job is known.
+    pub(super) fn take_entry(
+        &mut self,
+        name: &Name,
+        key: &(TaskId, u64),
+        phase: Phase,
+        cause: Option<Cause>,
+        holds: Option<Room>,
+        now: f64,
+    ) -> Sign {
+        let Some(m) = self.machines.get_mut(name) else {
+            return Sign::Nothing;
+        };
+        let mut fresh = false;
+        let active = m.active.entry(key.clone()).or_insert_with(|| {
+            fresh = true;
+            let mut adopted = Active::new(now, Room::default());
+            adopted.unsent = false;
+            adopted
+        });
+        active.shown = m.seen;
+        active.holds = holds.unwrap_or_default();
+        let was_exited = active.exited();
+        let sign = match std::mem::take(&mut active.told) {
+            true if active.phase == Some(phase) => Sign::Unheeded,
+            true => Sign::Heeded,
+            false => Sign::Nothing,
+        };
+        active.phase = Some(phase);
+        if phase == Phase::Running && active.running.is_none() {
+            active.running = Some(now);
+        }
+        let started = active.running;
+        let job = self.jobs.get_mut(&key.0.job).filter(|_| holds.is_some());
+        let Some(job) = job else {
+            // Its job is over, or was never accepted: it must go.
+            if phase != Phase::Exited && active.stop.is_none() {
+                active.stop = Some(0.0);
+                active.unsent = true;
+                self.outbox.insert(name.clone());
+            }
+            return sign;
+        };
+        let index = key.0.index;
+        let runs = phase != Phase::Exited && started.is_some();
+        if runs != active.counted {
+            active.counted = runs;
+            // One that is shown for the first time began before we knew of it.
+            if runs && job.begin() {
+                tracing::info!(job = %key.0.job, waited_s = now - job.at, "begun");
+                if !fresh {
+                    self.learned.waited(&job.spec.class, now - job.at);
+                }
+            }
+            job.running = if runs {
+                job.running + 1
+            } else {
+                job.running.saturating_sub(1)
+            };
+        }
+        if phase != Phase::Exited {
+            let on = job.on.get(&index).map(|(_, attempt)| *attempt);
+            let elsewhere = on.is_some_and(|attempt| attempt != key.1);
+            if on.is_none() {
+                // A former owner's task: adopted. It need not be the first
+                // report that shows it: a job can become known to us after its
+                // task did, and while that is being stopped it is still on.
+                job.set_on(index, name.clone(), key.1);
+                self.used.add(job.team, &job.spec, 1.0);
+            } else if elsewhere && job.add_copy(index, name.clone(), key.1) {
+                // One of the two reports is older, and we cannot tell which: as
+                // long as either may be on, the task must not start again. (The
+                // one seen first went with its session, the task started a third
+                // time while the other one ran: ran_twice.)
+                self.used.add(job.team, &job.spec, 1.0);
+            }
+            let unwanted = elsewhere || job.over || job.done.contains(index);
+            if fresh || phase == Phase::Running && started == Some(now) {
+                let spec = &job.spec;
+                let cache = self
+                    .types
+                    .get(&m.info.kind)
+                    .map_or(f64::MAX, |t| t.cache_gb);
+                if !m.has_image(&spec.image) {
+                    match self.holders.get_mut(&spec.image) {
+                        Some(holders) => holders.push(name.clone()),
+                        None => {
+                            let first = vec![name.clone()];
+                            self.holders.insert(spec.image.clone(), first);
+                        }
+                    }
+                }
+                m.used_image(&spec.image, spec.image_gb, cache);
+            }
+            if on.is_none() {
+                self.unbind(&key.0);
+            }
+            if unwanted {
+                self.stop(name, key, 0.0);
+            }
+            return sign;
+        }
+        if was_exited {
+            return sign;
+        }
+        active.cause = cause;
+        let spec = job.spec.clone();
+        match cause {
+            Some(Cause::Done) => {
+                job.set_done(index);
+                self.unwritten.insert(key.0.job.clone());
+                self.unbind(&key.0);
+                if let Some(m) = self.machines.get_mut(name) {
+                    m.errors.clear();
+                }
+                if let Some(at) = started {
+                    self.ran(&spec, now - at);
+                }
+            }
+            Some(Cause::Error) => {
+                job.failed_on.insert(name.clone());
+                job.failures += 1;
+                // A bad job is tried ever more rarely, and with one task, a good one
+                // at once.
+                if job.suspect() {
+                    job.retries += u32::from(job.on.len() <= 1);
+                    let tries = f64::from(job.retries + 1);
+                    job.not_before = now + self.params.report_s * tries.powi(2).min(100.0);
+                    if job.retries <= 1 {
+                        tracing::warn!(job = %key.0.job, machine = %name, "fails everywhere");
+                    }
+                    // It was not the machines' fault: a job of hundreds of tasks
+                    // would take a part of a healthy fleet out of use.
+                    for blamed in job.failed_on.iter() {
+                        if let Some(m) = self.machines.get_mut(blamed) {
+                            m.errors.retain(|j| *j != key.0.job);
+                        }
+                    }
+                } else if let Some(m) = self.machines.get_mut(name) {
+                    if job.has_succeeded() || !m.errors.contains(&key.0.job) {
+                        m.errors.push(key.0.job.clone());
+                    }
+                    tracing::info!(job = %key.0.job, task = index, machine = %name, "task failed");
+                }
+            }
+            Some(Cause::NoRoom | Cause::Busy | Cause::Unknown) => {
+                tracing::info!(task = %key.0.wire(), machine = %name, cause = ?cause, "start refused");
+                job.unknown = cause == Some(Cause::Unknown);
+                job.not_before = now + self.params.report_s / 2.0;
+            }
+            _ => {}
+        }
+        self.off(key);
+        sign
+    }
+}
--- a/src/coordination/silence.rs
+++ b/src/coordination/silence.rs
@@ -45,7 +45,7 @@
                 let answered = m.answered.map_or(f64::NEG_INFINITY, |t| t + lease);
                 self.fence.empty_from(lease).map(|t| t.max(answered))
             };
-            if from.is_some_and(|t| now > t && confirmed > t) {
+            if from.is_some_and(|t| now > t && confirmed > t) && !m.may_start_yet() {
                 expired.push(name.clone());
             }
         }
--- a/tests/cancel.rs
+++ b/tests/cancel.rs
@@ -5,9 +5,10 @@
 mod common;
 
 use common::*;
+use foxspur::coordination::calls::CallResult;
 use foxspur::coordination::member::cover::{blind_s, Cover, Told};
 use foxspur::coordination::node::Node;
-use foxspur::coordination::sessions::{Answer, CallResult};
+use foxspur::coordination::sessions::Answer;
 use foxspur::protocol::job::{JobState, Urgency};
 use foxspur::protocol::policy::Policy;
 use foxspur::protocol::settings::Settings;
@@ -256,3 +257,54 @@
         assert_eq!(told.is_some_and(|n| n > 0), over, "{state:?}");
     }
 }
+
+/// A start without an answer may be carried out once a machine that counts its sessions
+/// anew comes to the session that it was sent to: silence does not prove such a machine
+/// empty. (Seed 1665 of tests/simulation.rs: the task started elsewhere, then here.)
+#[test]
+fn a_machine_that_counts_anew_is_not_proven_empty_by_silence() {
+    // What the call for a report shows: the session, if the machine answers at all.
+    let cases = [
+        ("it counts anew", Some(1), false),
+        ("the same session", Some(3), true),
+        ("no answer", None, true),
+    ];
+    for (what, session, proven) in cases {
+        let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+        core.hello(&report("m1", 3, 4, 5, &[]), 0.0);
+        add(
+            &mut core,
+            spec("run-1", "t", Urgency::Standard, 1, 1.0),
+            0.0,
+        );
+        core.place(0.1);
+        let name = "m1".into();
+        let (_, start) = core.direct_call(&name, 0.1).expect("a start");
+        let [Command::Start { attempt, .. }] = start.commands[..] else {
+            panic!("{what}: {start:?}");
+        };
+        core.called(&name, &start, CallResult::Unknown, 4.1);
+        let asked = foxspur::protocol::worker::Direct {
+            token: 5,
+            session: 3,
+            commands: Vec::new(),
+        };
+        if let Some(session) = session {
+            let seen = report("m1", session, if session == 3 { 9 } else { 2 }, 5, &[]);
+            let result = match session {
+                3 => CallResult::Executed(seen),
+                _ => CallResult::Rejected(seen),
+            };
+            core.called(&name, &asked, result, 4.2);
+        }
+        let later = 5.0 + 2.0 * LEASE_S;
+        core.tick(later, later);
+        let empty = core.machines["m1"].active.is_empty();
+        assert_eq!(empty, proven, "{what}");
+        // A session past the one called rules the start out.
+        core.hello(&report("m1", 4, 1, 5, &[]), later + 1.0);
+        let known = core.machines["m1"].active.keys();
+        let attempts: Vec<u64> = known.map(|k| k.1).collect();
+        assert!(!attempts.contains(&attempt), "{what}: {attempts:?}");
+    }
+}
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -4,10 +4,11 @@
 mod common;
 
 use common::*;
+use foxspur::coordination::calls::CallResult;
 use foxspur::coordination::core::Core;
 use foxspur::coordination::fence::remaining;
 use foxspur::coordination::quota::within_limit;
-use foxspur::coordination::sessions::{Answer, CallResult};
+use foxspur::coordination::sessions::Answer;
 use foxspur::protocol::job::Urgency;
 use foxspur::protocol::worker::{Cause, Command, Phase, Report};
 use foxspur::storage::marks::Marks;
--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -6,11 +6,12 @@
 use common::*;
 use foxspur::admin::orders::{check, Refused};
 use foxspur::admin::rolls;
+use foxspur::coordination::calls::CallResult;
 use foxspur::coordination::core::Core;
 use foxspur::coordination::drains::{verdict, Look, Verdict};
 use foxspur::coordination::member::view::View;
 use foxspur::coordination::rolls::{in_turn, step, Scene};
-use foxspur::coordination::sessions::{Answer, CallResult};
+use foxspur::coordination::sessions::Answer;
 use foxspur::protocol::admin::{Drain, DrainOrder, DrainState, Drained, Proof, Rest};
 use foxspur::protocol::job::{Shape, Urgency};
 use foxspur::protocol::roll::{
--- a/tests/hearing.rs
+++ b/tests/hearing.rs
@@ -4,11 +4,12 @@
 mod common;
 
 use common::*;
+use foxspur::coordination::calls::CallResult;
 use foxspur::coordination::core::Core;
 use foxspur::coordination::fence::Fence;
 use foxspur::coordination::health::{Health, Peers};
 use foxspur::coordination::machine::Standing;
-use foxspur::coordination::sessions::{Answer, CallResult};
+use foxspur::coordination::sessions::Answer;
 use foxspur::protocol::job::Urgency;
 use foxspur::protocol::worker::{Cause, Command, Phase};
 
@@ -267,6 +268,54 @@
     assert!(core.machines["m1"].active.is_empty());
 }
 
+/// A machine that counts anew can be in the very session that its earlier life was in
+/// last: a report of that life, held up, then looks newer than all that it says. What it
+/// answers to a call made since is the truth. (Seed 6689 of tests/simulation.rs: a task
+/// that ran here was started elsewhere.)
+#[test]
+fn an_answer_to_a_call_outweighs_a_report_of_an_earlier_life() {
+    for (session, serial, believed) in [(2, 8, true), (2, 70, true), (1, 80, false)] {
+        let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+        core.hello(&report("m1", 2, 5, 5, &[]), 1.0);
+        add(
+            &mut core,
+            spec("run-1", "t", Urgency::Standard, 1, 1.0),
+            1.0,
+        );
+        core.place(1.1);
+        let name = "m1".into();
+        let (_, start) = core.direct_call(&name, 1.1).expect("a start");
+        let [Command::Start { attempt, .. }] = start.commands[..] else {
+            panic!("{start:?}");
+        };
+        let runs = [("run-1/0", attempt, Phase::Running, None)];
+        let shows = report("m1", 2, 6, 5, &runs);
+        core.called(&name, &start, CallResult::Executed(shows), 1.2);
+        // Of the earlier life, sent before it ended, with a later serial.
+        core.hello(&report("m1", 2, 69, 5, &[]), 1.3);
+        let known = |core: &Core| {
+            let known = core.machines["m1"].active.keys();
+            known.map(|k| k.1).collect::<Vec<u64>>()
+        };
+        assert!(!known(&core).contains(&attempt), "{session} {serial}");
+        // A start that it drew since is not the matter here.
+        core.job_over("run-1");
+        let (_, ask) = core.direct_call(&name, 1.4).expect("asked");
+        let shows = report("m1", session, serial, 5, &runs);
+        core.called(&name, &ask, CallResult::Executed(shows), 1.5);
+        assert_eq!(known(&core).contains(&attempt), believed, "{serial}");
+        let recounts = core.machines["m1"].recounts;
+        assert_eq!(recounts, (session, serial) < (2, 69), "{serial}");
+        // From then on reports say nothing until the next session, which ends all.
+        let late = core.hello(&report("m1", 2, 90, 5, &[]), 1.6);
+        assert_eq!(matches!(late, Answer::Refuse), recounts, "{serial}");
+        assert_eq!(known(&core).contains(&attempt), (2, 8) == (session, serial));
+        let next = core.hello(&report("m1", 3, 91, 5, &[]), 2.0 + LEASE_S);
+        assert!(matches!(next, Answer::Orders(_)) && !core.machines["m1"].recounts);
+        assert!(!known(&core).contains(&attempt));
+    }
+}
+
 /// Late copies at an owner that took over do not end its fence, bring back what was
 /// forgotten or stop what has started since.
 #[test]
