Done marks of large jobs are written on condition of the ones before

Cause, by going through every write for one that is carried out after newer ones: the chunks of a job with more tasks than a record holds rested on its record's version, which they did not change. One without an answer, carried out late, put older marks in the place of newer ones; their workers had forgotten those tasks, which would have run once more after a takeover.

Change: the record is written again with each of them. What to write is decided in batch.rs, pure.

Test: marks_written_late_replace_nothing (fails without the record).

--- /dev/null
+++ b/src/coordination/batch.rs
@@ -0,0 +1,115 @@
+//! What to write of done marks and final states next: one transaction that rests on
+//! the version of each job's record. Pure.
+
+use super::core::Core;
+use super::job::{Job, Name};
+use crate::protocol::job::JobState;
+use crate::protocol::state::Txn;
+use crate::storage::marks::Marks;
+use crate::storage::records::{self, Final, LiveJob, MarkChunk};
+use crate::transport::budget::Budget;
+
+/// A transaction, and what it writes of which job.
+pub struct Batch {
+    pub txn: Txn,
+    pub parts: Vec<Part>,
+}
+
+/// One job's part of a batch.
+pub struct Part {
+    pub id: Name,
+    pub marks: Marks,
+    pub last: Option<Final>,
+    /// The job's marks are kept apart from its record.
+    pub chunked: bool,
+}
+
+/// The record of a live job with these marks.
+fn record_of(job: &Job, wall_offset_s: f64, done: String) -> LiveJob {
+    LiveJob {
+        spec: job.spec.clone(),
+        at_ms: ((job.at + wall_offset_s) * 1000.0).round().max(0.0) as u64,
+        done,
+    }
+}
+
+/// The next batch, if anything is due, of at most `txn_ops` changes; jobs of more than
+/// `chunk_tasks` tasks keep their marks apart. `partial` bounds the writes for jobs that
+/// go on.
+pub fn plan(
+    core: &Core,
+    txn_ops: usize,
+    chunk_tasks: u32,
+    partial: &mut Budget,
+    now: f64,
+) -> Option<Batch> {
+    let due = core.marks_due(txn_ops);
+    if due.is_empty() {
+        return None;
+    }
+    let mut txn = Txn::default();
+    let mut parts = Vec::new();
+    let mut bytes = 0;
+    for id in due {
+        let Some(job) = core.jobs.get(&id) else {
+            continue;
+        };
+        if !job.complete() && partial.take(1.0, true, now).is_err() {
+            break;
+        }
+        // 64 KiB a transaction; half leaves room for the framing.
+        if txn.changes.len() + 2 > txn_ops || bytes > 32 * 1024 {
+            break;
+        }
+        let chunked = job.spec.tasks > chunk_tasks;
+        let mut part = Part {
+            id: id.clone(),
+            marks: job.done.clone(),
+            last: None,
+            chunked,
+        };
+        let key = records::live(&id);
+        txn = txn.when(&key, job.version);
+        if job.complete() {
+            let last = Final {
+                state: JobState::Done,
+                tasks: job.spec.tasks,
+                done: job.spec.tasks,
+            };
+            part.last = Some(last);
+            txn = txn.delete(&key).put(&records::fin(&id), &last);
+            bytes += 200;
+        } else if chunked {
+            part.marks = Marks::default();
+            // The record is written again with each of them: its version is what the
+            // next write rests on, so that one without an answer, carried out late,
+            // cannot put older marks in the place of newer ones. (Their workers have
+            // forgotten those tasks: after a takeover they would run once more.)
+            let record = record_of(job, core.wall_offset_s, String::new());
+            bytes += 800;
+            txn = txn.put(&key, &record);
+            for chunk in 0..job.spec.tasks.div_ceil(chunk_tasks) {
+                let marks = job.done.chunk(chunk, chunk_tasks);
+                if marks == job.written.chunk(chunk, chunk_tasks) {
+                    continue;
+                }
+                if txn.changes.len() + 1 > txn_ops || bytes > 32 * 1024 {
+                    break;
+                }
+                let done = marks.to_text();
+                bytes += done.len() + 100;
+                txn = txn.put(&records::mark(&id, chunk), &MarkChunk { done });
+                part.marks.merge(&marks);
+            }
+        } else {
+            let record = record_of(job, core.wall_offset_s, job.done.to_text());
+            bytes += record.done.len() + 800;
+            txn = txn.put(&key, &record);
+        }
+        parts.push(part);
+    }
+    if parts.is_empty() {
+        return None;
+    }
+    Some(Batch { txn, parts })
+}
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -1,14 +1,14 @@
 //! The job ledger: follows live jobs while we own the share, and writes done
 //! marks and final states in batches.
 
+use super::batch::{self, Batch, Part};
 use super::core::Core;
 use super::job::Name;
 use super::member::cover::blind_s;
 use super::node::Node;
-use crate::protocol::job::JobState;
 use crate::protocol::state::{Entry, Seen, Txn};
 use crate::storage::marks::Marks;
-use crate::storage::records::{self, Final, LiveJob, MarkChunk};
+use crate::storage::records::{self, LiveJob, MarkChunk};
 use crate::transport::budget::Budget;
 use crate::transport::clients::{Failure, Lane};
 use actix::prelude::*;
@@ -43,94 +43,21 @@
     }
 }
 
-/// One job's part of a batch.
-struct Part {
-    id: Name,
-    version: u64,
-    marks: Marks,
-    last: Option<Final>,
-    /// The job's marks are kept apart from its record.
-    chunked: bool,
-}
-
 /// Writes one batch; true if there may be more.
 async fn flush(node: &Rc<Node>, partial: &mut Budget) -> bool {
-    let limits = &node.settings.cluster.state;
-    let (txn, parts, term) = {
+    let (batch, term) = {
         let core = node.core.borrow();
         let Some(core) = core.as_ref() else {
             return false;
         };
-        let due = core.marks_due(limits.txn_ops);
-        if due.is_empty() {
+        let txn_ops = node.settings.cluster.state.txn_ops;
+        let chunk_tasks = node.chunk_tasks();
+        let Some(batch) = batch::plan(core, txn_ops, chunk_tasks, partial, node.now()) else {
             return false;
-        }
-        let mut txn = Txn::default();
-        let mut parts = Vec::new();
-        let mut bytes = 0;
-        let now = node.now();
-        for id in due {
-            let Some(job) = core.jobs.get(&id) else {
-                continue;
-            };
-            if !job.complete() && partial.take(1.0, true, now).is_err() {
-                break;
-            }
-            // 64 KiB a transaction; half leaves room for the framing.
-            if txn.changes.len() + 2 > limits.txn_ops || bytes > 32 * 1024 {
-                break;
-            }
-            let chunk_size = node.chunk_tasks();
-            let chunked = job.spec.tasks > chunk_size;
-            let mut part = Part {
-                id: id.clone(),
-                version: job.version,
-                marks: job.done.clone(),
-                last: None,
-                chunked,
-            };
-            let key = records::live(&id);
-            txn = txn.when(&key, job.version);
-            if job.complete() {
-                let last = Final {
-                    state: JobState::Done,
-                    tasks: job.spec.tasks,
-                    done: job.spec.tasks,
-                };
-                part.last = Some(last);
-                txn = txn.delete(&key).put(&records::fin(&id), &last);
-                bytes += 200;
-            } else if chunked {
-                part.marks = Marks::default();
-                for chunk in 0..job.spec.tasks.div_ceil(chunk_size) {
-                    let marks = job.done.chunk(chunk, chunk_size);
-                    if marks == job.written.chunk(chunk, chunk_size) {
-                        continue;
-                    }
-                    if txn.changes.len() + 1 > limits.txn_ops || bytes > 32 * 1024 {
-                        break;
-                    }
-                    let done = marks.to_text();
-                    bytes += done.len() + 100;
-                    txn = txn.put(&records::mark(&id, chunk), &MarkChunk { done });
-                    part.marks.merge(&marks);
-                }
-            } else {
-                let record = LiveJob {
-                    spec: job.spec.clone(),
-                    at_ms: ((job.at + core.wall_offset_s) * 1000.0).round().max(0.0) as u64,
-                    done: job.done.to_text(),
-                };
-                bytes += record.done.len() + 800;
-                txn = txn.put(&key, &record);
-            }
-            parts.push(part);
-        }
-        if parts.is_empty() {
-            return false;
-        }
-        (txn, parts, core.fence.base_term)
+        };
+        (batch, core.fence.base_term)
     };
+    let Batch { txn, parts } = batch;
     let result = node.state.txn(&txn, Lane::Data).await;
     match result {
         Ok(version) => {
@@ -156,8 +83,7 @@
     let mut over = Vec::new();
     if let Some(core) = core {
         for part in &parts {
-            let record_version = if part.chunked { part.version } else { version };
-            core.marks_written(&part.id, &part.marks, record_version);
+            core.marks_written(&part.id, &part.marks, version);
             if part.last.is_some() {
                 let told = core.jobs.get(&*part.id);
                 let (starts, passed_s) = told.map_or((0, 0.0), |j| (j.starts, j.passed_s));
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //! preemption and the fleet. The `Core` and all it uses is pure code with
 //! passed-in time and a seeded generator; the actors around it do the talking.
 
+pub mod batch;
 pub mod calls;
 pub mod commands;
 pub mod core;
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -4,15 +4,19 @@
 mod common;
 
 use common::*;
+use foxspur::coordination::batch;
 use foxspur::coordination::calls::CallResult;
 use foxspur::coordination::core::Core;
 use foxspur::coordination::fence::remaining;
 use foxspur::coordination::quota::within_limit;
 use foxspur::coordination::sessions::Answer;
 use foxspur::protocol::job::Urgency;
+use foxspur::protocol::state::Txn;
 use foxspur::protocol::worker::{Cause, Command, Phase, Report};
 use foxspur::storage::marks::Marks;
-use foxspur::storage::records::{Prior, Term, TOKENS};
+use foxspur::storage::records::{self, Prior, Term, TOKENS};
+use foxspur::transport::budget::Budget;
+use foxspur_world::store::Store;
 
 fn answer(core: &mut Core, report: &Report, now: f64) -> (u64, Vec<Command>) {
     match core.hello(report, now) {
@@ -686,3 +690,43 @@
     let now_on = core.jobs.get("run-1").and_then(|j| j.on.get(&0));
     assert!(now_on.is_some_and(|(_, attempt)| *attempt > 8));
 }
+
+/// A batch of marks without an answer, carried out after a newer one, puts nothing back:
+/// each write rests on the version that the one before left. (The chunks of a large job
+/// rested on its record, which stayed as it was; after a takeover tasks whose workers had
+/// forgotten them would have run once more.)
+#[test]
+fn marks_written_late_replace_nothing() {
+    for (tasks, chunked) in [(20, false), (300, true)] {
+        let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+        let mut store = Store::default();
+        let record = live(spec("run-1", "t", Urgency::Standard, tasks, 1.0), 0.0);
+        let key = records::live("run-1");
+        let added = store
+            .apply(&Txn::default().put(&key, &record))
+            .expect("new");
+        core.job_added(record, added, Marks::default());
+        let mut budget = Budget::new(100.0, 100.0, 0.0);
+        let mut batches = Vec::new();
+        for (n, index) in [3, 150 % tasks].into_iter().enumerate() {
+            let job = core.jobs.get_mut("run-1").expect("known");
+            job.set_done(index);
+            core.unwritten.insert("run-1".into());
+            let at = 100.0 * n as f64;
+            core.tick(at, at);
+            let batch = batch::plan(&core, 32, 128, &mut budget, at).expect("due");
+            assert_eq!(batch.parts[0].chunked, chunked);
+            batches.push(batch);
+            if n == 0 {
+                // No answer: the owner tries again with what it has by then.
+                continue;
+            }
+            let version = store.apply(&batches[n].txn).expect("written");
+            let marks = batches[n].parts[0].marks.clone();
+            core.marks_written("run-1", &marks, version);
+        }
+        let before = store.list("fx/").len();
+        assert!(store.apply(&batches[0].txn).is_err(), "{tasks} tasks");
+        assert_eq!(store.list("fx/").len(), before);
+    }
+}
