A job bound to one zone goes to the zone where its tasks fit

Cause, by reading for the meeting of zone-bound jobs with lost machines: the zone was chosen by free CPUs alone.

Change: only machines that a task of the job fits on count.

Test: a_job_of_one_zone_goes_where_it_fits (fails without it: nothing is placed).

--- a/src/coordination/place.rs
+++ b/src/coordination/place.rs
@@ -157,12 +157,20 @@
         }
     }
 
-    /// The zone with most room for the job, which decides for all of its tasks.
+    /// The zone with most room for the job, which decides for all of its tasks. Only
+    /// machines that a task fits on count: with free CPUs beside tasks that take all
+    /// memory a zone was the roomiest for ever, and the job waited while another had room.
     fn roomiest_zone(&self, spec: &JobSpec) -> Option<String> {
         let mut room: Vec<(&str, f64)> = Vec::new();
+        let need = Room::of_task(spec);
         for p in self.index.pools_for(spec, &self.types, |_| true) {
             let zone = self.index.pool(p).zone.as_str();
-            let free = self.index.free_cpus(p, spec.cpus);
+            let roomy = self.index.with_cpus(p, spec.cpus).iter();
+            let fits = |name: &Name| {
+                let m = self.machines.get(name);
+                m.is_some_and(|m| m.free.holds(&need))
+            };
+            let free: f64 = roomy.filter(|(_, n)| fits(n)).map(|(cpus, _)| cpus).sum();
             match room.iter_mut().find(|(z, _)| *z == zone) {
                 Some(z) => z.1 += free,
                 None => room.push((zone, free)),
--- a/src/coordination/room.rs
+++ b/src/coordination/room.rs
@@ -232,10 +232,10 @@
         None
     }
 
-    /// Free CPUs of a pool's machines that have at least this many.
-    pub(super) fn free_cpus(&self, pool: usize, cpus: f64) -> f64 {
+    /// The pool's machines with as many CPUs free, the fullest first.
+    pub(super) fn with_cpus(&self, pool: usize, cpus: f64) -> &[(f64, Name)] {
         let pool = &self.pools[pool];
-        pool.by_room[pool.first(cpus)..].iter().map(|r| r.0).sum()
+        &pool.by_room[pool.first(cpus)..]
     }
 
     /// How many machines of the pools have a place in their queue.
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -730,3 +730,35 @@
         assert_eq!(store.list("fx/").len(), before);
     }
 }
+
+/// The zone of a job that may use only one is where its tasks fit, not where most CPUs
+/// are free: beside tasks that take all memory they say nothing. (The job waited for ever
+/// while another zone had room.)
+#[test]
+fn a_job_of_one_zone_goes_where_it_fits() {
+    let mut core = core(vec![team("t", 0.0, 0.0)], 5, &["m1"]);
+    core.inherit(machine("m2", "b", false), 0.0);
+    let both = |core: &mut Core, seq: u64, now: f64| {
+        let mut two = report("m2", 1, seq, 5, &[]);
+        two.zone = "b".into();
+        let first = orders(core, &report("m1", 1, seq, 5, &[]), now);
+        (first, orders(core, &two, now))
+    };
+    both(&mut core, 1, 1.0);
+    // All memory of zone a, and few of its CPUs; many CPUs of zone b.
+    for (id, cpus, memory_gb, zone) in [("run-1", 1.0, 31.5, "a"), ("run-2", 5.0, 1.0, "b")] {
+        let mut job = spec(id, "t", Urgency::High, 1, cpus);
+        (job.memory_gb, job.zone) = (memory_gb, Some(zone.into()));
+        add(&mut core, job, 1.0);
+    }
+    let (first, second) = both(&mut core, 2, 2.0);
+    assert_eq!((starts(&first).len(), starts(&second).len()), (1, 1));
+    let mut job = spec("run-3", "t", Urgency::Standard, 2, 1.0);
+    (job.memory_gb, job.one_zone) = (4.0, true);
+    add(&mut core, job, 2.0);
+    core.place(2.5);
+    let on: Vec<&str> = (core.jobs["run-3"].on.values())
+        .map(|(m, _)| &**m)
+        .collect();
+    assert_eq!(on, ["m2", "m2"]);
+}
