An alive key that cannot be read is replaced, not tried against for ever

Change: its version counts whatever its value says.

Test: an_alive_key_that_cannot_be_read_is_replaced.

--- a/src/coordination/member/tenure.rs
+++ b/src/coordination/member/tenure.rs
@@ -21,7 +21,7 @@
 use super::vouch::{self, Round, Spans};
 use crate::coordination::fence::remaining;
 use crate::protocol::state::Entry;
-use crate::storage::records::{Prior, Share};
+use crate::storage::records::{Alive, Prior, Share};
 
 /// What a tenure needs of the settings.
 #[derive(Debug, Clone)]
@@ -242,7 +242,10 @@
     pub fn alive_read(&mut self, found: Option<&Entry>) {
         self.view.alive.remove(&self.terms.me);
         if let Some(entry) = found {
-            self.view.take_entry(entry);
+            // One that this version of the program cannot read is replaced all the same.
+            let boot = entry.read::<Alive>().map_or(0, |alive| alive.boot);
+            let me = self.terms.me.clone();
+            self.view.see_alive(me, boot, entry.version);
         }
     }
 
--- a/tests/tenure.rs
+++ b/tests/tenure.rs
@@ -270,6 +270,21 @@
     assert!(matches!(p.a.lease_step(7.0), LeaseStep::Write { .. }));
 }
 
+/// A key of our own that this version of the program cannot read is replaced, not tried
+/// against for ever.
+#[test]
+fn an_alive_key_that_cannot_be_read_is_replaced() {
+    let mut store = Store::default();
+    let key = records::alive("a");
+    let odd = serde_json::json!({"of": "a later version"});
+    let version = store.apply(&Txn::default().put(&key, &odd)).expect("put");
+    let mut a = tenure("a", &["b"], 1);
+    read(&mut a, &store);
+    a.granted(store.grant(LIFE_S, 0.0));
+    a.alive_read(store.get(&key).as_ref());
+    assert!(matches!(a.lease_step(0.1), LeaseStep::Write { over, .. } if over == version));
+}
+
 /// Guards against a write of the alive key by an earlier incarnation that is carried out
 /// after a later one: it would put the key under a lease that is about to end.
 #[test]
