Machines that keep to the protocol have a simulation of their own

Need: seeds with machines that count anew, which the protocol rules out, hid what fails without them. rules_hold_while_owners_and_messages_come_late now draws none; rules_hold_though_machines_count_anew is the test as it was.

--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -694,7 +694,8 @@
     assert!(strangers || running.count() == kept as usize);
 }
 
-fn play(seed: u64, workers: usize, until: f64) -> (usize, usize, usize, Met) {
+/// `anew`: whether machines may come back counting from one, which the protocol rules out.
+fn play(seed: u64, workers: usize, until: f64, anew: bool) -> (usize, usize, usize, Met) {
     let mut world = World {
         now: 0.0,
         rng: StdRng::seed_from_u64(seed),
@@ -798,7 +799,8 @@
                 _ if world.rng.random_bool(0.5) => {
                     world.workers[w].deaf_until = now + 4.0 * (until - now);
                 }
-                _ => world.restart(w),
+                _ if anew => world.restart(w),
+                _ => {}
             }
         }
         if !calm
@@ -850,13 +852,12 @@
     (world.started, ids.len(), world.drained, world.met)
 }
 
-#[test]
-fn rules_hold_while_owners_and_messages_come_late() {
+fn rules_hold(anew: bool) {
     let (mut started, mut drained, mut all) = (0, 0, Met::default());
     let mut gone_s: Vec<f64> = Vec::new();
     for seed in seeds(40) {
         println!("seed {seed}");
-        let (n, jobs, aside, met) = play(seed, 4, 600.0);
+        let (n, jobs, aside, met) = play(seed, 4, 600.0, anew);
         assert!(jobs > 0);
         all.mute_starts += met.mute_starts;
         all.ends += met.ends;
@@ -891,9 +892,21 @@
     );
 }
 
+#[test]
+fn rules_hold_while_owners_and_messages_come_late() {
+    rules_hold(false);
+}
+
+/// The same with machines that are back at once and count anew, which the protocol rules
+/// out. Held as far as it shows: see docs/notes/meetings.md for what does not.
+#[test]
+fn rules_hold_though_machines_count_anew() {
+    rules_hold(true);
+}
+
 #[test]
 fn rules_hold_on_a_fleet_of_hundreds() {
-    let (started, jobs, drained, _) = play(1, 300, 300.0);
+    let (started, jobs, drained, _) = play(1, 300, 300.0, true);
     assert!(
         jobs > 20 && started > 1000 && drained > 5,
         "only {started} starts of {jobs} jobs, {drained} drained: the check is too weak"
