--- a/tests/world.rs
+++ b/tests/world.rs
@@ -67,8 +67,9 @@
     site.load.run_s = 20.0;
     (site.workers.lease_s, site.workers.cancel_s) = (4.0, 9.0);
     let (entries, _) = play_site(site, &["refuse-owner:5@4.5", "state:13@7.5"], 80);
-    // Both troubles met: cancelled while the owner alone was refused, with tasks on
-    // machines when the state service went away.
+    // Both troubles met: cancelled while the owner alone was refused, just before the
+    // state service went away, after a task of it had gone on a machine for ten seconds
+    // at least.
     let fault = |name: &str| {
         let made = |e: &&Entry| matches!(&e.event, Event::Fault { what } if what.starts_with(name));
         entries.iter().find(made).map(|e| e.at).expect(name)
