--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -9,8 +9,9 @@
 use crate::site::Site;
 use crate::state::{self, StateService};
 use actix_web::{web, App, HttpServer};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Mutex;
@@ -132,8 +133,23 @@
     }
 }
 
-fn free() -> std::io::Result<TcpListener> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
+/// Loopback address of this world alone, where the system has more than one: worlds that
+/// run beside each other must not be given the port of a controller that was just killed.
+/// (Two tests shared a port, and controllers of one wrote to the state service of the other.)
+fn own_address() -> Ipv4Addr {
+    static WORLDS: AtomicU8 = AtomicU8::new(1);
+    let world = WORLDS.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let own = Ipv4Addr::new(127, high | 1, low, world.max(1));
+    match TcpListener::bind((own, 0)) {
+        Ok(_) => own,
+        Err(_) => Ipv4Addr::LOCALHOST,
+    }
+}
+
+/// A listener on any port of the address.
+fn listen_on(address: Ipv4Addr) -> std::io::Result<TcpListener> {
+    let listener = TcpListener::bind((address, 0))?;
     listener.set_nonblocking(true)?;
     Ok(listener)
 }
@@ -172,12 +188,20 @@
             });
         }
         let state = StateService::new(site.state.rps, site.state.write_rps);
+        let address = own_address();
+        let free = || listen_on(address);
         let (rental, mut places) = (free()?, Vec::new());
+        // The controllers' own ports, held until all others are taken.
+        let mut reserved = Vec::new();
         for n in 0..site.controllers {
             let listener = free()?;
-            // Their ports are found free and given up again for them.
-            let (front, mesh) = (free()?.local_addr()?, free()?.local_addr()?);
-            let admin = free()?.local_addr()?;
+            let mut reserve = || {
+                let held = free()?;
+                let port = held.local_addr();
+                reserved.push(held);
+                port
+            };
+            let (front, mesh, admin) = (reserve()?, reserve()?, reserve()?);
             places.push(Place {
                 name: format!("berth-{n}"),
                 zone: site.zones[n % site.zones.len()].clone(),
@@ -215,6 +239,8 @@
         let control = free()?;
         let control_addr = control.local_addr()?;
         serve!(machines.clone(), cloud::control_routes, [control]);
+        let balancer = tokio::net::TcpListener::from_std(free()?)?;
+        drop(reserved);
         let mut controllers = Vec::new();
         for n in 0..places.len() {
             let mut controller = Controller::new(program, dir, &site, &places, n, cloud_addr)?;
@@ -222,7 +248,6 @@
             controllers.push(controller);
         }
         let trouble = Trouble::default();
-        let balancer = tokio::net::TcpListener::from_std(free()?)?;
         let front = balancer.local_addr()?;
         let fronts: Vec<SocketAddr> = places.iter().map(|p| p.front).collect();
         balancer::run(balancer, fronts.clone(), trouble.clone());
