--- /dev/null
+++ b/tests/simulation/network.rs
@@ -0,0 +1,164 @@
+//! The network between leaders and workers: it delays, drops, holds back and repeats.
+
+use super::*;
+
+impl World {
+    pub(crate) fn delay(&mut self) -> f64 {
+        match self.rng.random_range(0..40) {
+            0 => self.rng.random_range(5.0..60.0),
+            1..4 => self.rng.random_range(0.5..5.0),
+            _ => 0.01,
+        }
+    }
+
+    pub(crate) fn send(&mut self, message: Message) {
+        let w = match &message {
+            Message::Hello(w, ..)
+            | Message::Answer(w, ..)
+            | Message::Direct(w, ..)
+            | Message::Called(w, ..) => *w,
+        };
+        let mut at = self.now + self.delay();
+        if self.workers[w].deaf_until > self.now {
+            match message {
+                Message::Answer(..) | Message::Direct(_, _, _, true) => return,
+                Message::Direct(w, base, call, false) => {
+                    let given_up = Message::Called(w, base, call, CallResult::Unknown);
+                    self.wire.push((self.now + 4.0, given_up));
+                    return;
+                }
+                Message::Hello(..) | Message::Called(..) => {}
+            }
+        }
+        let cut = self.workers[w].cut_until;
+        if cut > self.now {
+            // Held back, or lost: a caller then only learns that time is up.
+            if self.rng.random_bool(0.5) {
+                if let Message::Direct(w, base, call, false) | Message::Called(w, base, call, _) =
+                    message
+                {
+                    let given_up = Message::Called(w, base, call, CallResult::Unknown);
+                    self.wire.push((self.now + 4.0, given_up));
+                }
+                return;
+            }
+            at = at.max(cut);
+        }
+        // Every call has a timeout; what comes later is executed all the same.
+        let give_up = self.now + 4.0;
+        let message = match message {
+            Message::Direct(w, base, call, false) if at > give_up => {
+                let given_up = Message::Called(w, base, call.clone(), CallResult::Unknown);
+                self.wire.push((give_up, given_up));
+                Message::Direct(w, base, call, true)
+            }
+            Message::Called(w, base, call, _) if at > give_up => {
+                at = give_up;
+                Message::Called(w, base, call, CallResult::Unknown)
+            }
+            other => other,
+        };
+        self.wire.push((at, message));
+    }
+
+    pub(crate) fn deliver(&mut self) {
+        let now = self.now;
+        let mut due = Vec::new();
+        let mut i = 0;
+        while i < self.wire.len() {
+            if self.wire[i].0 <= now {
+                due.push(self.wire.remove(i));
+            } else {
+                i += 1;
+            }
+        }
+        due.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, message) in due {
+            let message = match message {
+                Message::Hello(w, LATEST, report, sent) => {
+                    let base = self.owners.last().map_or(0, |o| o.0.fence.base_term);
+                    Message::Hello(w, base, report, sent)
+                }
+                other => other,
+            };
+            let base = match &message {
+                Message::Hello(_, base, ..) | Message::Called(_, base, ..) => Some(*base),
+                _ => None,
+            };
+            // What comes while it stands still is read when it goes on, in any
+            // order among its connections.
+            if let Some(until) = base.and_then(|b| self.paused.get(&b)) {
+                let at = until + self.rng.random_range(0.0..0.2);
+                self.wire.push((at, message));
+                continue;
+            }
+            match message {
+                Message::Hello(w, base, report, sent) => {
+                    let answer = match self.owner(base) {
+                        Some(core) => core.hello(&report, now),
+                        None => continue,
+                    };
+                    if let (Answer::Orders(reply), true) = (answer, sent != COPY) {
+                        self.send(Message::Answer(w, report.session, sent, reply));
+                    }
+                }
+                Message::Answer(w, session, sent, reply) => {
+                    let worker = &mut self.workers[w];
+                    let ours = worker.asked.is_some_and(|(at, _)| at == sent);
+                    if worker.hung_until > now || !ours || worker.session != session {
+                        continue;
+                    }
+                    worker.asked = None;
+                    if reply.token < worker.token {
+                        continue;
+                    }
+                    worker.token = reply.token;
+                    worker.renewed = sent;
+                    self.execute(w, &reply.commands);
+                }
+                Message::Direct(w, base, call, known) => {
+                    if self.workers[w].hung_until > now {
+                        let at = self.workers[w].hung_until + 0.01;
+                        if !known {
+                            let given_up =
+                                Message::Called(w, base, call.clone(), CallResult::Unknown);
+                            self.wire.push((now + 4.0, given_up));
+                        }
+                        self.wire.push((at, Message::Direct(w, base, call, true)));
+                        continue;
+                    }
+                    // A worker that goes on notices its lease first.
+                    if now - self.workers[w].renewed > LEASE_S {
+                        let worker = &mut self.workers[w];
+                        worker.tasks.clear();
+                        worker.session += 1;
+                        worker.renewed = now;
+                        worker.asked = None;
+                    }
+                    let fits = call.token >= self.workers[w].token
+                        && call.session == self.workers[w].session;
+                    self.workers[w].token = self.workers[w].token.max(call.token);
+                    if fits {
+                        self.execute(w, &call.commands);
+                    }
+                    let report = self.report(w);
+                    let result = if fits {
+                        CallResult::Executed(report)
+                    } else {
+                        CallResult::Rejected(report)
+                    };
+                    // Half of the late ones were given up by their sender.
+                    if !known {
+                        self.send(Message::Called(w, base, call, result));
+                    }
+                }
+                Message::Called(w, base, call, result) => {
+                    let name = self.workers[w].id.as_str().into();
+                    if let Some(core) = self.owner(base) {
+                        core.called(&name, &call, result, now);
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/simulation/worker.rs
@@ -0,0 +1,179 @@
+//! Workers as the protocol describes them, and the rules checked at each start.
+
+use super::*;
+
+impl World {
+    pub(crate) fn report(&mut self, w: usize) -> Report {
+        let worker = &mut self.workers[w];
+        worker.seq += 1;
+        let tasks: Vec<_> = worker
+            .tasks
+            .iter()
+            .map(|((task, _), t)| (task.as_str(), t.attempt, t.phase, t.cause))
+            .collect();
+        report(&worker.id, worker.session, worker.seq, worker.token, &tasks)
+    }
+
+    pub(crate) fn execute(&mut self, w: usize, commands: &[Command]) {
+        for command in commands {
+            match command {
+                Command::Start { task, attempt } => {
+                    let key = (task.clone(), *attempt);
+                    if self.workers[w].tasks.contains_key(&key) {
+                        continue;
+                    }
+                    let wish = self.drains.get(&self.workers[w].id);
+                    let aside = wish.and_then(|d| d.0.drained.as_ref());
+                    assert!(aside.is_none(), "{task} starts on a drained machine");
+                    // The rules, at each start.
+                    for other in &self.workers {
+                        for ((t, a), state) in &other.tasks {
+                            let on = state.phase != Phase::Exited;
+                            assert!(
+                                !(on && t == task),
+                                "ran_twice: {task} attempt {attempt} on {}, {a} on {} at {:.1}",
+                                self.workers[w].id,
+                                other.id,
+                                self.now
+                            );
+                        }
+                    }
+                    let job = task.split('/').next().unwrap_or_default();
+                    if let Some((at, cancelled)) = self.over.get(job) {
+                        let late = *cancelled && self.now - at > CANCEL_S;
+                        assert!(!late, "ran_cancelled: {task} at {:.1}", self.now);
+                    }
+                    let used: f64 = self
+                        .workers
+                        .iter()
+                        .flat_map(|o| o.tasks.iter())
+                        .filter(|(_, s)| s.phase != Phase::Exited)
+                        .map(|((t, _), _)| self.cpus(t))
+                        .sum();
+                    let more = self.cpus(task);
+                    assert!(used + more <= self.limit + 1e-6, "quota: {used} + {more}");
+                    let until = self.now + self.rng.random_range(1.0..15.0);
+                    self.started += 1;
+                    self.met.mute_starts += usize::from(self.workers[w].mute_until > self.now);
+                    self.workers[w].tasks.insert(
+                        key,
+                        Task {
+                            attempt: *attempt,
+                            phase: Phase::Running,
+                            cause: None,
+                            until,
+                        },
+                    );
+                }
+                Command::Stop { task, attempt, .. } => {
+                    let key = (task.clone(), *attempt);
+                    if let Some(t) = self.workers[w].tasks.get_mut(&key) {
+                        if t.phase != Phase::Exited {
+                            t.phase = Phase::Exited;
+                            t.cause = Some(Cause::Stopped);
+                        }
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    let key = (task.clone(), *attempt);
+                    let worker = &mut self.workers[w];
+                    let exited = worker
+                        .tasks
+                        .get(&key)
+                        .is_some_and(|t| t.phase == Phase::Exited);
+                    if exited {
+                        worker.tasks.remove(&key);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(crate) fn workers_step(&mut self) {
+        for w in 0..self.workers.len() {
+            let now = self.now;
+            // What a hanging machine had is over with its lease: it goes on
+            // within it or not at all.
+            if now - self.workers[w].renewed > LEASE_S {
+                let worker = &mut self.workers[w];
+                worker.tasks.clear();
+                worker.session += 1;
+                worker.renewed = now;
+                worker.asked = None;
+            }
+            if self.workers[w].hung_until > now {
+                continue;
+            }
+            let bad = self.rng.random_bool(0.1);
+            for t in self.workers[w].tasks.values_mut() {
+                if t.phase == Phase::Running && t.until <= now {
+                    t.phase = Phase::Exited;
+                    t.cause = Some(if bad { Cause::Error } else { Cause::Done });
+                }
+            }
+            if self.workers[w]
+                .asked
+                .is_some_and(|(_, give_up)| now > give_up)
+            {
+                self.workers[w].asked = None;
+            }
+            if self.workers[w].mute_until > now {
+                // No connection: the next owner is tried a second later.
+                self.workers[w].next = self.workers[w].next.max(now + 1.0);
+                continue;
+            }
+            if self.workers[w].asked.is_none() && now >= self.workers[w].next {
+                self.workers[w].next = now + self.rng.random_range(0.75..1.25);
+                self.workers[w].asked = Some((now, now + 4.0));
+                let report = self.report(w);
+                // Mostly to the real owner, sometimes to one that lingers.
+                let n = self.owners.len();
+                let o = if self.rng.random_bool(0.8) {
+                    n - 1
+                } else {
+                    self.rng.random_range(0..n)
+                };
+                let owner = self.owners[o].0.fence.base_term;
+                if self.rng.random_bool(0.03) {
+                    // A copy follows, from seconds to several leases later, to
+                    // whoever listens then. Nobody reads the answer.
+                    let late = now + self.rng.random_range(1.0..4.0 * LEASE_S);
+                    let copy = Message::Hello(w, LATEST, report.clone(), COPY);
+                    self.wire.push((late, copy));
+                }
+                self.send(Message::Hello(w, owner, report, now));
+            }
+        }
+    }
+
+    /// The machine is back at once, with nothing on it and counters that begin anew.
+    /// Its old connections are gone with what was on its way in them. The protocol has it
+    /// keep the highest term; one that forgets it too obeys former owners again, against
+    /// which nobody can do anything while there are any.
+    pub(crate) fn restart(&mut self, w: usize) {
+        let now = self.now;
+        let worker = &mut self.workers[w];
+        worker.tasks.clear();
+        (worker.session, worker.seq) = (1, 0);
+        if self.owners.len() == 1 {
+            worker.token = 0;
+        }
+        (worker.renewed, worker.asked, worker.next) = (now, None, now);
+        for (at, message) in &mut self.wire {
+            match message {
+                Message::Direct(to, base, call, known) if *to == w => {
+                    let lost = std::mem::replace(known, true);
+                    let result = Message::Called(w, *base, call.clone(), CallResult::Unknown);
+                    // Who was told already that it has no answer is not told again.
+                    (*at, *message) = if lost {
+                        (f64::MAX, result)
+                    } else {
+                        (now, result)
+                    };
+                }
+                _ => {}
+            }
+        }
+        self.wire.retain(|(at, _)| *at < f64::MAX);
+    }
+}
