A raised term whose answer was lost is adopted; simulations draw lost answers and late marks

Cause, by reading each write: a rewriting under a higher term that was carried out without an answer left the leader acting under its old term; peers that had seen the record did not vouch for that, so that an outage right after would have ended the workers' leases. Change: the leader acts under the term of its own record. Every kind of write in tests/pause.rs may lose its answer (eight kinds, counted); tests/simulation draws lost answers and late writes of marks, lost answers of the machine record, two teams at their limits as the leader changes and machines are lost, machines that come while the record lags and the leader ends, and old reports that reach a new leader first. Each meeting has a counter that must pass 20.

--- a/src/coordination/member/mod.rs
+++ b/src/coordination/member/mod.rs
@@ -233,6 +233,11 @@
         tracing::warn!("share lost: stepping down");
         step_down(node);
     }
+    let raised = node.tenure.borrow_mut().adopt_raised_term();
+    if let (Some(term), Some(core)) = (raised, node.core.borrow_mut().as_mut()) {
+        tracing::info!(term, "the term was raised, and the answer lost");
+        core.raise_term(term);
+    }
     let term = node
         .tenure
         .borrow()
--- a/src/coordination/member/taking.rs
+++ b/src/coordination/member/taking.rs
@@ -25,6 +25,13 @@
     asked_at: f64,
 }
 
+impl Rewrite {
+    /// Whether it is under a higher term.
+    pub fn raises_term(&self) -> bool {
+        self.term_too
+    }
+}
+
 impl Tenure {
     /// The claim to make if the share may be taken: nobody has it, its owner's
     /// lease is gone, or it is our own from before a restart.
@@ -187,6 +194,21 @@
         Some(acting.term)
     }
 
+    /// Acts under the term of our own record where that is higher, and says which it is: a
+    /// rewriting was carried out and its answer lost.
+    ///
+    /// Guards against an owner that goes on under its old term: peers that know the record
+    /// do not vouch for that, and in an outage its workers' leases ran out.
+    pub fn adopt_raised_term(&mut self) -> Option<u64> {
+        let own = self.view.share.as_ref().filter(|(s, _)| self.mine(s));
+        let term = own.map(|(share, _)| share.term)?;
+        let acting = self.acting.as_mut().filter(|a| a.term < term)?;
+        acting.term = term;
+        self.promised = self.promised.max(term);
+        self.vouches.about(term);
+        Some(term)
+    }
+
     /// Whether we act for a share that, by what we know, is not ours any more.
     pub fn deposed(&self) -> bool {
         let Some(acting) = self.acting else {
--- a/src/coordination/member/tenure.rs
+++ b/src/coordination/member/tenure.rs
@@ -140,6 +140,11 @@
         self.acting.map(|a| a.base_term)
     }
 
+    /// The term under which we act, which may have been raised since the takeover.
+    pub fn acting_term(&self) -> Option<u64> {
+        self.acting.map(|a| a.term)
+    }
+
     fn spans(&self) -> Spans {
         Spans::new(self.terms.life_s, self.terms.quiet_s)
     }
--- a/tests/pause.rs
+++ b/tests/pause.rs
@@ -24,7 +24,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 /// A worker's lease; a controller's own is a quarter of it.
 const LEASE_S: f64 = 16.0;
@@ -157,6 +157,27 @@
     gap_learnt: usize,
     gap_told: usize,
     found_late: usize,
+    /// Requests that were carried out at once while the answer was lost, by kind, and terms
+    /// that were raised like that and then adopted.
+    lost: BTreeMap<&'static str, usize>,
+    adopted: usize,
+}
+
+impl Request {
+    /// What kind of write it is, if it is one.
+    fn write(&self) -> Option<&'static str> {
+        match self {
+            Request::Grant => Some("lease"),
+            Request::Write(..) => Some("alive key"),
+            Request::Renew(..) => Some("renewal"),
+            Request::End(_) => Some("end of a lease"),
+            Request::Claim(_) => Some("claim"),
+            Request::Rewrite(rewrite) if rewrite.raises_term() => Some("raised term"),
+            Request::Rewrite(_) => Some("share written again"),
+            Request::Cancel(_) => Some("cancellation"),
+            _ => None,
+        }
+    }
 }
 
 fn name(n: usize) -> String {
@@ -192,6 +213,8 @@
             gap_learnt: 0,
             gap_told: 0,
             found_late: 0,
+            lost: BTreeMap::new(),
+            adopted: 0,
         };
         for n in 0..count {
             let offset = world.rng.random_range(0.0..500.0);
@@ -348,6 +371,15 @@
             },
             Request::Live(_) => Answer::Over(self.written.clone()),
         };
+        let carried_out = !matches!(answer, Answer::Conflict | Answer::NoLease | Answer::Nothing);
+        if let Some(kind) = request.write().filter(|_| carried_out && !self.calm) {
+            // Others see what was written; who asked gives up after a while.
+            let rare = matches!(request, Request::Rewrite(_) | Request::End(_));
+            if self.rng.random_bool(if rare { 0.5 } else { 0.06 }) {
+                *self.lost.entry(kind).or_default() += 1;
+                return;
+            }
+        }
         self.reply(n, start, id, request, answer);
     }
 
@@ -377,7 +409,7 @@
             Loop::Mind => {
                 let pause = self.rng.random_bool(0.002);
                 let rewrite = match self.nodes[n].tenure.reassert(now) {
-                    None if pause => self.nodes[n].tenure.raise(now),
+                    None if pause || self.rng.random_bool(0.002) => self.nodes[n].tenure.raise(now),
                     other => other,
                 };
                 self.look(n);
@@ -409,6 +441,9 @@
         if self.nodes[n].tenure.deposed() {
             self.step_down(n);
         }
+        if self.nodes[n].tenure.adopt_raised_term().is_some() {
+            self.adopted += 1;
+        }
         if self.nodes[n].claiming {
             return;
         }
@@ -847,6 +882,19 @@
                 self.now,
                 name(n)
             );
+            // Under an older term than its own record's nobody vouches for it.
+            let own = node
+                .tenure
+                .own_version()
+                .and(node.tenure.view.share.as_ref());
+            let own = own.map(|(share, _)| share.term);
+            assert!(
+                own <= node.tenure.acting_term(),
+                "seed {seed}, {:.2}: {} acts under {:?}, its record says {own:?}",
+                self.now,
+                name(n),
+                node.tenure.acting_term()
+            );
             let lost = self.taken.iter().filter(|t| t.0 > base).map(|t| t.1);
             let lost = lost.fold(f64::MAX, f64::min);
             let confirmed = (node.tenure.confirmed() - node.offset) / (1.0 + node.drift);
@@ -938,6 +986,7 @@
 fn a_controller_that_wakes_does_not_act_on_its_past() {
     let (mut takeovers, mut woken, mut words, mut told) = (0, 0, 0, 0);
     let (mut gap_told, mut gap_learnt, mut found_late) = (0, 0, 0);
+    let (mut lost, mut adopted) = (BTreeMap::<&str, usize>::new(), 0);
     for seed in seeds(60) {
         let mut world = World::new(seed, [3, 5, 7, 2][seed as usize % 4]);
         world.play(seed, 700.0);
@@ -948,7 +997,17 @@
         gap_told += world.gap_told;
         gap_learnt += world.gap_learnt;
         found_late += world.found_late;
+        adopted += world.adopted;
+        for (kind, times) in world.lost {
+            *lost.entry(kind).or_default() += times;
+        }
     }
+    println!("{lost:?}, {adopted} terms adopted");
+    let each = lost.values().all(|n| *n > 10);
+    assert!(
+        own_seeds() || lost.len() == 8 && each && adopted > 5,
+        "answers lost: {lost:?}, {adopted} terms adopted: too weak"
+    );
     assert!(
         own_seeds() || takeovers > 400 && woken > 400 && words > 20 && told > 4000,
         "{takeovers} takeovers, {woken} owners woken, {told} told, {words} words: too weak"
--- a/tests/simulation/leader.rs
+++ b/tests/simulation/leader.rs
@@ -56,41 +56,12 @@
             }
             // Only the real owner's conditional writes succeed; marks do anyway.
             for id in self.owners[o].0.marks_due(9) {
-                if self.rng.random_bool(0.5) {
-                    continue;
-                }
-                let Some((_, marks, version)) = self.live.get_mut(&*id) else {
-                    self.owners[o].0.job_over(&id);
-                    continue;
-                };
-                let Some(job) = self.owners[o].0.jobs.get(&id) else {
-                    continue;
-                };
-                if job.version != *version {
-                    let (marks, version) = (marks.clone(), *version);
-                    self.owners[o].0.job_reread(&id, version, &marks);
-                    continue;
-                }
-                self.version += 1;
-                *version = self.version;
-                marks.merge(&job.done);
-                let done = job.done.clone();
-                let complete = job.complete();
-                self.owners[o].0.marks_written(&id, &done, self.version);
-                if complete {
-                    self.live.remove(&*id);
-                    self.over.insert(id.to_string(), (now, false));
-                    self.owners[o].0.job_over(&id);
-                }
+                let fate = self.fate();
+                self.write_marks(o, &id, fate);
             }
             if o == last {
+                self.write_record(o);
                 let core = &mut self.owners[o].0;
-                if core.record_dirty && self.rng.random_bool(0.5) {
-                    core.record_dirty = false;
-                    self.record = core.wanted_record().into_iter().cloned().collect();
-                    let written = self.record.clone();
-                    core.record_written(&written);
-                }
                 for (drain, version) in core.drains_proven(0, 9) {
                     let (host, known) = (drain.host.clone(), self.drains.get(&drain.host));
                     if self.rng.random_bool(0.5) && known.is_some_and(|d| d.1 == version) {
@@ -126,7 +97,142 @@
         }
     }
 
+    fn fate(&mut self) -> Fate {
+        match self.rng.random_range(0..100) {
+            0..45 => Fate::Refused,
+            45..50 => Fate::Late,
+            50..58 => Fate::AnswerLost,
+            _ => Fate::Answered,
+        }
+    }
+
+    /// An owner writes what is done of a job, on condition of the version it knows.
+    fn write_marks(&mut self, o: usize, id: &Name, fate: Fate) {
+        let held = self.unwritten_until.get(&**id);
+        if fate == Fate::Refused || held.is_some_and(|until| self.now < *until) {
+            return;
+        }
+        let core = &mut self.owners[o].0;
+        let Some((_, marks, version)) = self.live.get(&**id) else {
+            core.job_over(id);
+            return;
+        };
+        let Some(job) = core.jobs.get(id) else {
+            return;
+        };
+        if job.version != *version {
+            core.job_reread(id, *version, &marks.clone());
+            return;
+        }
+        let write = LateMarks {
+            at: self.now + self.rng.random_range(2.0..12.0),
+            job: id.to_string(),
+            over_version: *version,
+            marks: job.done.clone(),
+            complete: job.complete(),
+        };
+        if fate == Fate::Late {
+            if self.rng.random_bool(0.2) {
+                let until = write.at + 2.0 * STEP_S;
+                self.unwritten_until.insert(write.job.clone(), until);
+            }
+            self.late_marks.push(write);
+            return;
+        }
+        let (done, complete) = (write.marks.clone(), write.complete);
+        self.carry_out_marks(write);
+        if fate == Fate::AnswerLost {
+            self.met.add(Meeting::MarksAnswerLost, 1);
+            return;
+        }
+        let version = self.version;
+        let core = &mut self.owners[o].0;
+        core.marks_written(id, &done, version);
+        if complete {
+            core.job_over(id);
+        }
+    }
+
+    /// The store carries out a write of marks; false if its condition fails.
+    fn carry_out_marks(&mut self, write: LateMarks) -> bool {
+        let Some((_, marks, version)) = self.live.get_mut(&write.job) else {
+            return false;
+        };
+        if *version != write.over_version {
+            return false;
+        }
+        self.version += 1;
+        *version = self.version;
+        marks.merge(&write.marks);
+        if write.complete {
+            self.live.remove(&write.job);
+            self.over.insert(write.job, (self.now, false));
+        }
+        true
+    }
+
+    /// Writes of marks that were held up arrive at the store.
+    pub(crate) fn late_marks_arrive(&mut self) {
+        let now = self.now;
+        let all = std::mem::take(&mut self.late_marks);
+        let (due, later): (Vec<_>, Vec<_>) = all.into_iter().partition(|w| w.at <= now);
+        self.late_marks = later;
+        for write in due {
+            let meeting = match self.carry_out_marks(write) {
+                true => Meeting::MarksLateWritten,
+                false => Meeting::MarksLateRefused,
+            };
+            self.met.add(meeting, 1);
+        }
+    }
+
+    /// The real owner writes its machine record.
+    fn write_record(&mut self, o: usize) {
+        let lags = self.record_lags_until > self.now && self.rng.random_bool(0.97);
+        let fate = self.fate();
+        let core = &mut self.owners[o].0;
+        if !core.record_dirty || lags || matches!(fate, Fate::Refused | Fate::Late) {
+            return;
+        }
+        self.record = core.wanted_record().into_iter().cloned().collect();
+        if fate == Fate::AnswerLost {
+            self.met.add(Meeting::RecordAnswerLost, 1);
+            return;
+        }
+        core.record_dirty = false;
+        core.record_written(&self.record);
+    }
+
+    /// Old reports arrive at a new owner: before and after newer ones of their machines.
+    fn old_reports_arrive(&mut self) {
+        let oldest = self.now - KEPT_S;
+        while self.sent_reports.front().is_some_and(|r| r.1 < oldest) {
+            self.sent_reports.pop_front();
+        }
+        for _ in 0..self.workers.len() {
+            if self.sent_reports.is_empty() || self.rng.random_bool(0.5) {
+                continue;
+            }
+            let n = self.rng.random_range(0..self.sent_reports.len());
+            let (w, _, report) = self.sent_reports[n].clone();
+            for most_s in [0.1, 10.0] {
+                let at = self.now + self.rng.random_range(0.0..most_s);
+                let copy = Message::Hello(w, LATEST, report.clone(), COPY);
+                self.wire.push((at, copy));
+            }
+        }
+    }
+
     pub(crate) fn take_over(&mut self, crash: bool) {
+        let unrecorded = self.workers.iter().filter(|w| {
+            let new = self.now - w.up_since < NEW_S && self.now > NEW_S;
+            new && !self.record.iter().any(|m| m.id == w.id)
+        });
+        let unrecorded = unrecorded.count();
+        self.met.add(Meeting::OwnerEndsBeforeRecord, unrecorded);
+        if self.rng.random_bool(0.5) {
+            self.old_reports_arrive();
+        }
         self.term += TOKENS;
         if crash {
             self.owners.pop();
@@ -134,7 +240,8 @@
             old.1 = self.now + LINGER_S;
         }
         let quiet = self.owners.is_empty().then_some(self.now);
-        let teams = vec![team("t", 0.0, self.limit)];
+        let teams = TEAMS.iter().zip(self.limits);
+        let teams = teams.map(|(name, limit)| team(name, 0.0, limit)).collect();
         let fence = Fence::new(self.term, quiet);
         let mut core = Core::new(params(teams), self.term, fence, self.term);
         core.set_types(&types());
--- a/tests/simulation/main.rs
+++ b/tests/simulation/main.rs
@@ -12,16 +12,17 @@
 use foxspur::coordination::calls::CallResult;
 use foxspur::coordination::core::Core;
 use foxspur::coordination::fence::Fence;
+use foxspur::coordination::job::Name;
 use foxspur::coordination::machine::{Active, Standing};
 use foxspur::coordination::sessions::Answer;
 use foxspur::protocol::admin::{Drain, Rest};
 use foxspur::protocol::job::Urgency;
-use foxspur::protocol::worker::{Cause, Command, Direct, Phase, Reply, Report};
+use foxspur::protocol::worker::{Cause, Command, Direct, Phase, Reply, Report, Shown};
 use foxspur::storage::marks::Marks;
 use foxspur::storage::records::{LiveJob, MachineInfo, TOKENS};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 const STEP_S: f64 = 0.1;
 /// Send time of copies, and the owner that copies go to: whoever it is then.
@@ -30,6 +31,21 @@
 /// For how long a former owner without contact goes on; it may stand still for
 /// a part of it, and go on where it was.
 const LINGER_S: f64 = 25.0;
+const TEAMS: [&str; 2] = ["t", "u"];
+/// How long a machine counts as new.
+const NEW_S: f64 = 6.0;
+/// How far back reports are kept to arrive once more.
+const KEPT_S: f64 = 4.0 * LEASE_S;
+
+/// The job of a task.
+fn job_of(task: &str) -> &str {
+    task.split('/').next().unwrap_or_default()
+}
+
+/// The place of a job's team.
+fn team_of(job: &str) -> usize {
+    usize::from(job.ends_with(['3', '6', '9']))
+}
 
 #[derive(Clone)]
 struct Task {
@@ -56,6 +72,32 @@
     deaf_until: f64,
     /// It reaches no owner, while direct commands reach it.
     mute_until: f64,
+    up_since: f64,
+}
+
+impl Worker {
+    fn new(n: usize, now: f64) -> Worker {
+        Worker {
+            id: format!("m-{n}"),
+            session: 1,
+            seq: 0,
+            token: 0,
+            tasks: BTreeMap::new(),
+            renewed: now,
+            asked: None,
+            next: now,
+            hung_until: 0.0,
+            cut_until: 0.0,
+            deaf_until: 0.0,
+            mute_until: 0.0,
+            up_since: now,
+        }
+    }
+
+    /// It does not do what it is told, or nobody can know.
+    fn is_lost(&self, now: f64) -> bool {
+        self.hung_until > now || self.mute_until > now || self.cut_until > now
+    }
 }
 
 struct World {
@@ -73,8 +115,17 @@
     /// Messages: when, what.
     wire: Vec<(f64, Message)>,
     started: usize,
-    /// The team's limit.
-    limit: f64,
+    /// The teams' limits.
+    limits: [f64; 2],
+    late_marks: Vec<LateMarks>,
+    /// Jobs whose marks nobody writes until then: what is on its way is not overtaken.
+    unwritten_until: BTreeMap<String, f64>,
+    /// Until then hardly a write of the machine record is carried out.
+    record_lags_until: f64,
+    /// When the owner ends because a new machine came.
+    ends_soon: f64,
+    /// Reports of the last few leases, oldest first: machine, when, report.
+    sent_reports: VecDeque<(usize, f64, Report)>,
     /// Owners that stand still while their clocks run on, until when.
     paused: BTreeMap<u64, f64>,
     /// Jobs that an owner does not know of yet: when it will, its term.
@@ -87,23 +138,90 @@
     met: Met,
 }
 
-/// How often troubles really met: a draw that never does shows nothing.
+/// Troubles that meet: a draw that never brings one about shows nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Meeting {
+    /// A start on a machine that reaches no owner.
+    MuteStart,
+    /// A cancellation of a job whose last task had ended and was not written yet.
+    CancelAtEnd,
+    /// A cancellation while the owner stood still or its takeover was not over.
+    CancelAtTakeover,
+    /// A cancelled task that was on a machine that hung, or was mute.
+    CancelOnLostMachine,
+    /// The same while every team was at its limit and the owner changed.
+    CancelAtLimits,
+    /// Done marks, or the machine record, written while the answer was lost.
+    MarksAnswerLost,
+    RecordAnswerLost,
+    /// Done marks that came late: after newer ones, and when nothing was newer.
+    MarksLateRefused,
+    MarksLateWritten,
+    /// A start on a machine that came within the last few seconds, and an owner that ended
+    /// while the record of such a machine was not written.
+    StartOnNewMachine,
+    OwnerEndsBeforeRecord,
+    /// An old report that a new owner got before any other of its machine, one of an
+    /// earlier session, and one that shows a task which is gone.
+    OldReportFirst,
+    OldReportOfEarlierSession,
+    OldReportOfGoneTask,
+}
+
+/// Every meeting that each run of many seeds must bring about.
+const MEETINGS: [Meeting; 14] = [
+    Meeting::MuteStart,
+    Meeting::CancelAtEnd,
+    Meeting::CancelAtTakeover,
+    Meeting::CancelOnLostMachine,
+    Meeting::CancelAtLimits,
+    Meeting::MarksAnswerLost,
+    Meeting::RecordAnswerLost,
+    Meeting::MarksLateRefused,
+    Meeting::MarksLateWritten,
+    Meeting::StartOnNewMachine,
+    Meeting::OwnerEndsBeforeRecord,
+    Meeting::OldReportFirst,
+    Meeting::OldReportOfEarlierSession,
+    Meeting::OldReportOfGoneTask,
+];
+
+/// What a day met.
 #[derive(Default, Debug)]
 struct Met {
-    /// Starts on a machine that reaches no owner, and those of them after a takeover
-    /// since it fell mute.
-    mute_starts: usize,
-    /// Cancellations of jobs whose last task had ended and was not written yet.
-    ends: usize,
-    /// Cancellations while the owner stood still or within a lease of a takeover.
-    takeover_cancels: usize,
-    /// Cancelled tasks that were on a machine that hung, or was mute.
-    hung_cancels: usize,
+    counts: BTreeMap<Meeting, usize>,
     /// For each cancelled job that had tasks on machines, how long after the answer the
     /// last of them was gone.
     gone_s: BTreeMap<String, f64>,
 }
 
+impl Met {
+    fn add(&mut self, meeting: Meeting, times: usize) {
+        *self.counts.entry(meeting).or_default() += times;
+    }
+}
+
+/// Done marks on their way to the store, carried out late.
+struct LateMarks {
+    at: f64,
+    job: String,
+    over_version: u64,
+    marks: Marks,
+    complete: bool,
+}
+
+/// What becomes of a write.
+#[derive(Clone, Copy, PartialEq)]
+enum Fate {
+    /// Not carried out.
+    Refused,
+    Answered,
+    /// Carried out at once, and the answer is lost.
+    AnswerLost,
+    /// Carried out later, if its condition still holds then.
+    Late,
+}
+
 #[allow(clippy::large_enum_variant)]
 enum Message {
     Hello(usize, u64, Report, f64),
@@ -114,45 +232,114 @@
 
 impl World {
     fn cpus(&self, task: &str) -> f64 {
-        let job = task.split('/').next().unwrap_or_default();
-        if job.ends_with(['0', '2', '4', '6', '8']) {
+        if job_of(task).ends_with(['0', '2', '4', '6', '8']) {
             1.0
         } else {
             2.0
         }
     }
 
+    /// CPUs of the team's tasks on machines.
+    fn used(&self, team: usize) -> f64 {
+        let tasks = self.workers.iter().flat_map(|w| &w.tasks);
+        let on = tasks.filter(|((t, _), s)| s.phase != Phase::Exited && team_of(job_of(t)) == team);
+        on.map(|((t, _), _)| self.cpus(t)).sum()
+    }
+
+    /// Whether no team may start another task of two CPUs.
+    fn all_at_limits(&self) -> bool {
+        (0..TEAMS.len()).all(|team| self.used(team) + 2.0 > self.limits[team] + 1e-6)
+    }
+
+    /// Whether the owner changed and does not know of all machines yet, or stands still.
+    fn owner_changes(&self) -> bool {
+        let owner = self.owners.last();
+        let fresh = owner.is_some_and(|(c, _)| c.unaccounted() != Some(0));
+        fresh || !self.paused.is_empty()
+    }
+
+    /// Whether tasks of the job are on machines, and all of them have ended.
+    fn has_ended(&self, id: &str) -> bool {
+        let tasks = self.workers.iter().flat_map(|w| &w.tasks);
+        let own = tasks.filter(|((t, _), _)| job_of(t) == id);
+        let mut own = own.peekable();
+        own.peek().is_some() && own.all(|(_, t)| t.phase == Phase::Exited)
+    }
+
     /// A user cancels a job: any, or one whose tasks have all just ended.
     fn cancel(&mut self, at_end: bool) {
-        let ended = |id: &str| {
-            let tasks = self.workers.iter().flat_map(|w| &w.tasks);
-            let mut own = tasks
-                .filter(|((t, _), _)| t.split('/').next() == Some(id))
-                .peekable();
-            own.peek().is_some() && own.all(|(_, t)| t.phase == Phase::Exited)
+        let mut jobs = self.live.keys().filter(|id| !at_end || self.has_ended(id));
+        if let Some(id) = jobs.next().cloned() {
+            self.cancel_job(&id);
+        }
+    }
+
+    fn cancel_job(&mut self, id: &str) {
+        let now = self.now;
+        let changes = self.owner_changes();
+        let on_lost = |w: &&Worker| {
+            let mut tasks = w.tasks.iter();
+            w.is_lost(now) && tasks.any(|((t, _), s)| job_of(t) == id && s.phase != Phase::Exited)
         };
-        let mut jobs = self.live.keys().filter(|id| !at_end || ended(id));
-        let Some(id) = jobs.next().cloned() else {
+        let lost = self.workers.iter().filter(on_lost).count();
+        let limits = lost > 0 && changes && self.all_at_limits();
+        let ended = self.has_ended(id);
+        self.met.add(Meeting::CancelAtEnd, usize::from(ended));
+        self.met
+            .add(Meeting::CancelAtTakeover, usize::from(changes));
+        self.met.add(Meeting::CancelOnLostMachine, lost);
+        self.met.add(Meeting::CancelAtLimits, usize::from(limits));
+        self.live.remove(id);
+        self.over.insert(id.to_string(), (now, true));
+        if let Some((core, _)) = self.owners.last_mut() {
+            core.job_over(id);
+        }
+    }
+
+    /// Every team is at its limit: a machine with tasks is lost, the owner changes, and
+    /// one of the jobs on the machine is cancelled, in any order.
+    fn cancel_at_limits(&mut self) {
+        if !self.all_at_limits() {
             return;
+        }
+        let live = |(t, _): &&(String, u64)| self.live.contains_key(job_of(t));
+        let job = |w: &Worker| {
+            w.tasks
+                .keys()
+                .find(live)
+                .map(|(t, _)| job_of(t).to_string())
         };
-        let now = self.now;
-        self.met.ends += usize::from(ended(&id));
-        let fresh = self
-            .owners
-            .last()
-            .is_some_and(|(c, _)| c.unaccounted() != Some(0));
-        self.met.takeover_cancels += usize::from(fresh || !self.paused.is_empty());
-        for worker in &self.workers {
-            let away = worker.hung_until > now || worker.mute_until > now;
-            let on = |((t, _), s): (&(String, u64), &Task)| {
-                t.split('/').next() == Some(&id) && s.phase != Phase::Exited
-            };
-            self.met.hung_cancels += usize::from(away && worker.tasks.iter().any(on));
+        let mut found = self.workers.iter().enumerate();
+        let Some((w, id)) = found.find_map(|(n, w)| Some((n, job(w)?))) else {
+            return;
+        };
+        let until = self.now + self.rng.random_range(2.0..20.0);
+        match self.rng.random_range(0..3) {
+            0 => self.workers[w].hung_until = until,
+            1 => self.workers[w].cut_until = until,
+            _ => self.workers[w].mute_until = until,
         }
-        self.live.remove(&id);
-        self.over.insert(id.clone(), (now, true));
-        if let Some((core, _)) = self.owners.last_mut() {
-            core.job_over(&id);
+        let crash = self.rng.random_bool(0.5);
+        let before = self.rng.random_bool(0.3);
+        if before {
+            self.cancel_job(&id);
+        }
+        self.take_over(crash);
+        if !before {
+            self.cancel_job(&id);
+        }
+    }
+
+    /// A machine comes up and may get work within a second, while its record is late and
+    /// the owner ends.
+    fn new_machine(&mut self) {
+        let worker = Worker::new(self.workers.len(), self.now);
+        self.workers.push(worker);
+        if self.rng.random_bool(0.6) {
+            self.record_lags_until = self.now + self.rng.random_range(0.5..5.0);
+        }
+        if self.rng.random_bool(0.6) {
+            self.ends_soon = self.now + self.rng.random_range(0.3..3.0);
         }
     }
 }
@@ -189,7 +376,12 @@
         owners: Vec::new(),
         wire: Vec::new(),
         started: 0,
-        limit: 5.0 * workers as f64,
+        limits: [3.0 * workers as f64, 2.0 * workers as f64],
+        late_marks: Vec::new(),
+        unwritten_until: BTreeMap::new(),
+        record_lags_until: 0.0,
+        ends_soon: f64::MAX,
+        sent_reports: VecDeque::new(),
         paused: BTreeMap::new(),
         unheard: Vec::new(),
         drains: HashMap::new(),
@@ -197,21 +389,8 @@
         drained: 0,
         met: Met::default(),
     };
-    for i in 0..workers {
-        world.workers.push(Worker {
-            id: format!("m-{i}"),
-            session: 1,
-            seq: 0,
-            token: 0,
-            tasks: BTreeMap::new(),
-            renewed: 0.0,
-            asked: None,
-            next: 0.0,
-            hung_until: 0.0,
-            cut_until: 0.0,
-            deaf_until: 0.0,
-            mute_until: 0.0,
-        });
+    for n in 0..workers {
+        world.workers.push(Worker::new(n, 0.0));
     }
     world.take_over(true);
     let mut jobs = 0;
@@ -227,7 +406,10 @@
             let cpus = world.cpus(&format!("{id}/0"));
             let most = (2 * workers).min(8 + workers / 4) as u32;
             let tasks = world.rng.random_range(1..most);
-            let record = live(spec(&id, "t", Urgency::Standard, tasks, cpus), now);
+            let record = live(
+                spec(&id, TEAMS[team_of(&id)], Urgency::Standard, tasks, cpus),
+                now,
+            );
             world.version += 1;
             let version = world.version;
             world
@@ -251,6 +433,16 @@
             let crash = world.rng.random_bool(0.5);
             world.take_over(crash);
         }
+        if !calm && world.rng.random_bool(0.05) {
+            world.cancel_at_limits();
+        }
+        if !calm && world.workers.len() < 2 * workers && world.rng.random_bool(0.003) {
+            world.new_machine();
+        }
+        if world.ends_soon <= now {
+            world.ends_soon = f64::MAX;
+            world.take_over(true);
+        }
         if !calm && world.rng.random_bool(0.004) {
             // Any owner, often just when another takes over.
             let o = world.rng.random_range(0..world.owners.len());
@@ -266,7 +458,7 @@
                 .rng
                 .random_bool((0.001 * workers as f64).clamp(0.005, 0.1))
         {
-            let w = world.rng.random_range(0..workers);
+            let w = world.rng.random_range(0..world.workers.len());
             let until = now + world.rng.random_range(1.0..20.0);
             match world.rng.random_range(0..6) {
                 5 => {
@@ -296,6 +488,7 @@
             world.hears_at = now;
         }
         world.hear();
+        world.late_marks_arrive();
         world.deliver();
         world.workers_step();
         for (core, _) in &world.owners {
@@ -304,7 +497,7 @@
         world.owners_step();
         for worker in &world.workers {
             for ((task, _), state) in &worker.tasks {
-                let job = task.split('/').next().unwrap_or_default();
+                let job = job_of(task);
                 if let Some((at, true)) = world.over.get(job) {
                     let on = state.phase != Phase::Exited && worker.hung_until <= now;
                     if on {
@@ -340,10 +533,9 @@
         println!("seed {seed}");
         let (n, jobs, aside, met) = play(seed, 4, 600.0, anew);
         assert!(jobs > 0);
-        all.mute_starts += met.mute_starts;
-        all.ends += met.ends;
-        all.takeover_cancels += met.takeover_cancels;
-        all.hung_cancels += met.hung_cancels;
+        for (meeting, times) in met.counts {
+            all.add(meeting, times);
+        }
         gone_s.extend(met.gone_s.into_values());
         started += n;
         drained += aside;
@@ -361,15 +553,12 @@
         part(0.99),
         gone_s.last()
     );
-    let least = [
-        all.mute_starts,
-        all.ends,
-        all.takeover_cancels,
-        all.hung_cancels,
-    ];
+    println!("{:?}", all.counts);
+    let met = |m: &Meeting| all.counts.get(m).is_some_and(|n| *n > 20);
     assert!(
-        own_seeds() || least.iter().all(|n| *n > 20),
-        "troubles did not meet: {all:?}"
+        own_seeds() || MEETINGS.iter().all(met),
+        "troubles did not meet: {:?}",
+        all.counts
     );
 }
 
--- a/tests/simulation/network.rs
+++ b/tests/simulation/network.rs
@@ -94,6 +94,9 @@
             }
             match message {
                 Message::Hello(w, base, report, sent) => {
+                    if sent == COPY {
+                        self.note_old_report(w, base, &report);
+                    }
                     let answer = match self.owner(base) {
                         Some(core) => core.hello(&report, now),
                         None => continue,
@@ -161,4 +164,20 @@
             }
         }
     }
+
+    /// Counts what an old report meets.
+    fn note_old_report(&mut self, w: usize, base: u64, report: &Report) {
+        let known = self.owners.iter().find(|o| o.0.fence.base_term == base);
+        let machine = known.and_then(|(core, _)| core.machines.get(&*report.machine));
+        let first = machine.is_some_and(|m| m.seen == (0, 0));
+        let worker = &self.workers[w];
+        let gone = |t: &Shown| !worker.tasks.contains_key(&(t.task.clone(), t.attempt));
+        let earlier = report.session < worker.session;
+        let gone = report.tasks.iter().any(gone);
+        self.met.add(Meeting::OldReportFirst, usize::from(first));
+        self.met
+            .add(Meeting::OldReportOfEarlierSession, usize::from(earlier));
+        self.met
+            .add(Meeting::OldReportOfGoneTask, usize::from(gone));
+    }
 }
--- a/tests/simulation/worker.rs
+++ b/tests/simulation/worker.rs
@@ -38,23 +38,29 @@
                             );
                         }
                     }
-                    let job = task.split('/').next().unwrap_or_default();
+                    let job = job_of(task);
                     if let Some((at, cancelled)) = self.over.get(job) {
                         let late = *cancelled && self.now - at > CANCEL_S;
                         assert!(!late, "ran_cancelled: {task} at {:.1}", self.now);
                     }
-                    let used: f64 = self
-                        .workers
-                        .iter()
-                        .flat_map(|o| o.tasks.iter())
-                        .filter(|(_, s)| s.phase != Phase::Exited)
-                        .map(|((t, _), _)| self.cpus(t))
-                        .sum();
-                    let more = self.cpus(task);
-                    assert!(used + more <= self.limit + 1e-6, "quota: {used} + {more}");
+                    let team = team_of(job);
+                    let (used, more) = (self.used(team), self.cpus(task));
+                    assert!(
+                        used + more <= self.limits[team] + 1e-6,
+                        "quota: {used} + {more} of {}",
+                        TEAMS[team]
+                    );
+                    let id = &self.workers[w].id;
+                    assert!(
+                        self.record.iter().any(|m| m.id == *id),
+                        "{task} starts on {id}, which no record names"
+                    );
                     let until = self.now + self.rng.random_range(1.0..15.0);
                     self.started += 1;
-                    self.met.mute_starts += usize::from(self.workers[w].mute_until > self.now);
+                    let mute = self.workers[w].mute_until > self.now;
+                    let new = self.now - self.workers[w].up_since < NEW_S && self.now > NEW_S;
+                    self.met.add(Meeting::MuteStart, usize::from(mute));
+                    self.met.add(Meeting::StartOnNewMachine, usize::from(new));
                     self.workers[w].tasks.insert(
                         key,
                         Task {
@@ -126,6 +132,7 @@
                 self.workers[w].next = now + self.rng.random_range(0.75..1.25);
                 self.workers[w].asked = Some((now, now + 4.0));
                 let report = self.report(w);
+                self.sent_reports.push_back((w, now, report.clone()));
                 // Mostly to the real owner, sometimes to one that lingers.
                 let n = self.owners.len();
                 let o = if self.rng.random_bool(0.8) {
--- a/tests/tenure.rs
+++ b/tests/tenure.rs
@@ -115,6 +115,28 @@
     assert!(p.store.apply(&late.txn).is_err());
 }
 
+/// Guards against an owner whose raised term was written while the answer was lost: under
+/// its old term nobody vouches for it, and an outage ends its workers' leases.
+#[test]
+fn a_term_raised_without_an_answer_is_adopted() {
+    for known in [true, false] {
+        let mut p = pair();
+        let since = p.store.revision;
+        let raise = p.a.raise(1.0).expect("it is ours");
+        p.store.apply(&raise.txn).expect("carried out");
+        follow(&mut p.b, &p.store, since);
+        if known {
+            follow(&mut p.a, &p.store, since);
+        }
+        let adopted = p.a.adopt_raised_term();
+        assert_eq!(adopted.is_some(), known);
+        assert_eq!(p.a.adopt_raised_term(), None, "twice");
+        let asks = p.a.vouch_due(10.0).expect("no contact");
+        assert_eq!(p.b.vouches_for(asks), known, "{asks}");
+        assert!(!p.a.deposed());
+    }
+}
+
 /// Guards against an owner kept answering by the word of who is about to take over: a
 /// claim counts the owner's silence from when it was made, and one that had no answer may
 /// yet be carried out, until the record it rests on is seen to have changed.
