Simulation: a zone cut off with the leader in it, another one outside

Half of the machines reach the former leader alone for 1.2 to 2.5 leases while another one takes over and jobs are cancelled.

--- a/tests/simulation/main.rs
+++ b/tests/simulation/main.rs
@@ -26,7 +26,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use worker::{Task, Worker};
+use worker::{CutZone, Task, Worker};
 
 const STEP_S: f64 = 0.1;
 /// Send time of copies, and the owner that copies go to: whoever it is then.
@@ -221,6 +221,9 @@
         if !calm && world.away_until == f64::MAX && world.rng.random_bool(0.0008) {
             world.all_go_away();
         }
+        if !calm && world.rng.random_bool(0.0008) {
+            world.cut_zone();
+        }
         if world.away_until <= now {
             world.one_returns();
         }
--- a/tests/simulation/met.rs
+++ b/tests/simulation/met.rs
@@ -36,12 +36,15 @@
     OwnerEndsWithLostTasks,
     /// A start that was held up for seconds, given up by its sender, and carried out.
     HeldStart,
+    /// A report that a former owner cut off with its zone answered longer than a lease after
+    /// the takeover.
+    AnsweredInCutZone,
     /// Machines whose lease ended because no owner answered anyone for longer than that.
     NobodyForALease,
 }
 
 /// Every meeting that each run of many seeds must bring about.
-pub(crate) const MEETINGS: [Meeting; 18] = [
+pub(crate) const MEETINGS: [Meeting; 19] = [
     Meeting::MuteStart,
     Meeting::CancelAtEnd,
     Meeting::CancelAtTakeover,
@@ -59,6 +62,7 @@
     Meeting::EndsFarApart,
     Meeting::OwnerEndsWithLostTasks,
     Meeting::HeldStart,
+    Meeting::AnsweredInCutZone,
     Meeting::NobodyForALease,
 ];
 
--- a/tests/simulation/network.rs
+++ b/tests/simulation/network.rs
@@ -30,7 +30,7 @@
                 Message::Hello(..) | Message::Called(..) => {}
             }
         }
-        let cut = self.workers[w].cut_until;
+        let cut = self.workers[w].cut_until.max(self.cut_by_zone(w, &message));
         if cut > self.now {
             // Held back, or lost: a caller then only learns that time is up.
             if self.rng.random_bool(0.5) {
@@ -61,6 +61,26 @@
         self.wire.push((at, message));
     }
 
+    /// Until when a message of an owner outside a cut zone does not get through.
+    fn cut_by_zone(&self, w: usize, message: &Message) -> f64 {
+        let Some(cut) = self.workers[w].zone_cut else {
+            return 0.0;
+        };
+        match message {
+            Message::Direct(_, base, ..) | Message::Called(_, base, ..) if *base != cut.owner => {
+                cut.until
+            }
+            _ => 0.0,
+        }
+    }
+
+    /// Counts an answer of a former owner in a cut zone.
+    fn note_cut_zone(&mut self, w: usize, base: u64) {
+        let cut = self.workers[w].zone_cut.filter(|cut| cut.owner == base);
+        let long = cut.is_some_and(|c| self.now - c.since > LEASE_S && self.now < c.until);
+        self.met.add(Meeting::AnsweredInCutZone, usize::from(long));
+    }
+
     pub(crate) fn deliver(&mut self) {
         let now = self.now;
         let mut due = Vec::new();
@@ -102,6 +122,7 @@
                         None => continue,
                     };
                     if let (Answer::Orders(reply), true) = (answer, sent != COPY) {
+                        self.note_cut_zone(w, base);
                         self.send(Message::Answer(w, report.session, sent, reply));
                     }
                 }
--- a/tests/simulation/trouble.rs
+++ b/tests/simulation/trouble.rs
@@ -102,6 +102,23 @@
         }
     }
 
+    /// A zone is cut off with the owner in it; another one takes over outside.
+    pub(crate) fn cut_zone(&mut self) {
+        let owner = self.owners.last().map(|(c, _)| c.fence.base_term);
+        let since = self.now;
+        let until = since + self.rng.random_range(1.2..2.5) * LEASE_S;
+        let half = self.rng.random_range(0..2);
+        for (n, worker) in self.workers.iter_mut().enumerate() {
+            let inside = n % 2 == half;
+            worker.zone_cut = owner.filter(|_| inside).map(|owner| CutZone {
+                owner,
+                since,
+                until,
+            });
+        }
+        self.take_over(false);
+    }
+
     /// All owners stand still for longer than a lease.
     pub(crate) fn all_go_away(&mut self) {
         self.away_until = self.now + self.rng.random_range(1.2..2.5) * LEASE_S;
--- a/tests/simulation/worker.rs
+++ b/tests/simulation/worker.rs
@@ -10,6 +10,14 @@
     pub(crate) until: f64,
 }
 
+/// A zone that is cut off with a controller in it: its workers reach that one alone.
+#[derive(Clone, Copy)]
+pub(crate) struct CutZone {
+    pub(crate) owner: u64,
+    pub(crate) since: f64,
+    pub(crate) until: f64,
+}
+
 /// A worker by the protocol.
 pub(crate) struct Worker {
     pub(crate) id: String,
@@ -27,6 +35,7 @@
     pub(crate) deaf_until: f64,
     /// It reaches no owner, while direct commands reach it.
     pub(crate) mute_until: f64,
+    pub(crate) zone_cut: Option<CutZone>,
     pub(crate) up_since: f64,
     pub(crate) session_since: f64,
 }
@@ -46,11 +55,18 @@
             cut_until: 0.0,
             deaf_until: 0.0,
             mute_until: 0.0,
+            zone_cut: None,
             up_since: now,
             session_since: now,
         }
     }
 
+    /// The only owner that it reaches, if its zone is cut off now.
+    pub(crate) fn reaches_only(&self, now: f64) -> Option<u64> {
+        let cut = self.zone_cut.filter(|cut| cut.until > now)?;
+        Some(cut.owner)
+    }
+
     /// It does not do what it is told, or nobody can know.
     pub(crate) fn is_lost(&self, now: f64) -> bool {
         self.hung_until > now || self.mute_until > now || self.cut_until > now
@@ -197,6 +213,7 @@
                     self.rng.random_range(0..n)
                 };
                 let owner = self.owners[o].0.fence.base_term;
+                let owner = self.workers[w].reaches_only(now).unwrap_or(owner);
                 if self.rng.random_bool(0.03) {
                     // A copy follows, from seconds to several leases later, to
                     // whoever listens then. Nobody reads the answer.
