Simulation: jobs bound to a zone, together and scattered, and wrong_place checked

Machines stand in two zones; a tenth of the jobs are bound to one, a tenth run together, a fifth scattered. Each start is held against the rule, given the job's other tasks at that moment.

--- a/tests/simulation/main.rs
+++ b/tests/simulation/main.rs
@@ -18,7 +18,7 @@
 use foxspur::coordination::machine::{Active, Standing};
 use foxspur::coordination::sessions::Answer;
 use foxspur::protocol::admin::{Drain, Rest};
-use foxspur::protocol::job::Urgency;
+use foxspur::protocol::job::{JobSpec, Urgency};
 use foxspur::protocol::worker::{Cause, Command, Direct, Phase, Reply, Report, Shown};
 use foxspur::storage::marks::Marks;
 use foxspur::storage::records::{LiveJob, MachineInfo, TOKENS};
@@ -36,6 +36,7 @@
 /// a part of it, and go on where it was.
 const LINGER_S: f64 = 25.0;
 const TEAMS: [&str; 2] = ["t", "u"];
+const ZONES: [&str; 2] = ["a", "b"];
 /// How long a machine counts as new.
 const NEW_S: f64 = 6.0;
 /// What is long to go for a task, which runs for fifteen seconds at most.
@@ -48,6 +49,17 @@
     task.split('/').next().unwrap_or_default()
 }
 
+/// Where the job's tasks may run: some in one given zone, some together, some scattered.
+fn placed(mut spec: JobSpec) -> JobSpec {
+    match spec.id.bytes().last() {
+        Some(b'1') => spec.zone = Some(ZONES[0].into()),
+        Some(b'5') => spec.one_zone = true,
+        Some(b'7' | b'8') => spec.spread = true,
+        _ => {}
+    }
+    spec
+}
+
 /// The place of a job's team.
 fn team_of(job: &str) -> usize {
     usize::from(job.ends_with(['3', '6', '9']))
@@ -60,6 +72,8 @@
     /// The store: live jobs with marks, final jobs, machine record, term.
     live: BTreeMap<String, (LiveJob, Marks, u64)>,
     over: BTreeMap<String, (f64, bool)>,
+    /// What every job asked for.
+    specs: BTreeMap<String, JobSpec>,
     record: Vec<MachineInfo>,
     term: u64,
     version: u64,
@@ -148,6 +162,7 @@
         workers: Vec::new(),
         live: BTreeMap::new(),
         over: BTreeMap::new(),
+        specs: BTreeMap::new(),
         record: Vec::new(),
         term: 0,
         version: 0,
@@ -185,10 +200,10 @@
             let cpus = world.cpus(&format!("{id}/0"));
             let most = (2 * workers).min(8 + workers / 4) as u32;
             let tasks = world.rng.random_range(1..most);
-            let record = live(
-                spec(&id, TEAMS[team_of(&id)], Urgency::Standard, tasks, cpus),
-                now,
-            );
+            let team = TEAMS[team_of(&id)];
+            let spec = placed(spec(&id, team, Urgency::Standard, tasks, cpus));
+            world.specs.insert(id.clone(), spec.clone());
+            let record = live(spec, now);
             world.version += 1;
             let version = world.version;
             world
--- a/tests/simulation/met.rs
+++ b/tests/simulation/met.rs
@@ -39,12 +39,16 @@
     /// A report that a former owner cut off with its zone answered longer than a lease after
     /// the takeover.
     AnsweredInCutZone,
+    /// A start of a task that is bound to one zone, to its fellows or away from them, and one
+    /// that was on a machine which was lost.
+    BoundStart,
+    BoundJobLosesMachine,
     /// Machines whose lease ended because no owner answered anyone for longer than that.
     NobodyForALease,
 }
 
 /// Every meeting that each run of many seeds must bring about.
-pub(crate) const MEETINGS: [Meeting; 19] = [
+pub(crate) const MEETINGS: [Meeting; 21] = [
     Meeting::MuteStart,
     Meeting::CancelAtEnd,
     Meeting::CancelAtTakeover,
@@ -63,6 +67,8 @@
     Meeting::OwnerEndsWithLostTasks,
     Meeting::HeldStart,
     Meeting::AnsweredInCutZone,
+    Meeting::BoundStart,
+    Meeting::BoundJobLosesMachine,
     Meeting::NobodyForALease,
 ];
 
--- a/tests/simulation/network.rs
+++ b/tests/simulation/network.rs
@@ -153,12 +153,7 @@
                     }
                     // A worker that goes on notices its lease first.
                     if now - self.workers[w].renewed > LEASE_S {
-                        let worker = &mut self.workers[w];
-                        worker.tasks.clear();
-                        worker.session += 1;
-                        worker.session_since = now;
-                        worker.renewed = now;
-                        worker.asked = None;
+                        self.session_over(w);
                     }
                     let fits = call.token >= self.workers[w].token
                         && call.session == self.workers[w].session;
--- a/tests/simulation/worker.rs
+++ b/tests/simulation/worker.rs
@@ -21,6 +21,7 @@
 /// A worker by the protocol.
 pub(crate) struct Worker {
     pub(crate) id: String,
+    pub(crate) zone: &'static str,
     pub(crate) session: u64,
     pub(crate) seq: u64,
     pub(crate) token: u64,
@@ -44,6 +45,7 @@
     pub(crate) fn new(n: usize, now: f64) -> Worker {
         Worker {
             id: format!("m-{n}"),
+            zone: ZONES[n % ZONES.len()],
             session: 1,
             seq: 0,
             token: 0,
@@ -82,7 +84,60 @@
             .iter()
             .map(|((task, _), t)| (task.as_str(), t.attempt, t.phase, t.cause))
             .collect();
-        report(&worker.id, worker.session, worker.seq, worker.token, &tasks)
+        let zone = worker.zone.to_string();
+        Report {
+            zone,
+            ..report(&worker.id, worker.session, worker.seq, worker.token, &tasks)
+        }
+    }
+
+    /// `wrong_place`: the zone that the job allows, given its other tasks at this moment.
+    fn check_place(&mut self, w: usize, job: &str) {
+        let Some(spec) = self.specs.get(job) else {
+            return;
+        };
+        let zone = self.workers[w].zone;
+        let on = |worker: &Worker| {
+            let tasks = worker.tasks.iter();
+            let own = tasks.filter(|((t, _), s)| job_of(t) == job && s.phase != Phase::Exited);
+            own.count()
+        };
+        let in_zone = |z: &str| -> usize {
+            let inside = self.workers.iter().filter(|w| w.zone == z);
+            inside.map(on).sum()
+        };
+        let here = in_zone(zone) + 1;
+        let elsewhere: usize = self.workers.iter().map(on).sum::<usize>() + 1 - here;
+        let wanted = spec.zone.as_deref();
+        let most = spec.tasks.div_ceil(2) as usize;
+        let right = wanted.is_none_or(|z| z == zone)
+            && !(spec.one_zone && elsewhere > 0)
+            && !(spec.spread && here > most);
+        assert!(
+            right,
+            "wrong_place: {job} in {zone}, {here} there, {elsewhere} elsewhere"
+        );
+        let bound = wanted.is_some() || spec.one_zone || spec.spread;
+        self.met.add(Meeting::BoundStart, usize::from(bound));
+    }
+
+    /// A machine's session is over, and what ran there is lost.
+    pub(crate) fn session_over(&mut self, w: usize) {
+        let now = self.now;
+        let worker = &mut self.workers[w];
+        let runs = worker
+            .tasks
+            .iter()
+            .filter(|(_, s)| s.phase != Phase::Exited);
+        let specs = runs.filter_map(|((t, _), _)| self.specs.get(job_of(t)));
+        let bound = specs.filter(|s| s.zone.is_some() || s.one_zone || s.spread);
+        let bound = bound.count();
+        self.met.add(Meeting::BoundJobLosesMachine, bound);
+        worker.tasks.clear();
+        worker.session += 1;
+        worker.session_since = now;
+        worker.renewed = now;
+        worker.asked = None;
     }
 
     pub(crate) fn execute(&mut self, w: usize, commands: &[Command]) {
@@ -121,6 +176,7 @@
                         "quota: {used} + {more} of {}",
                         TEAMS[team]
                     );
+                    self.check_place(w, job);
                     let id = &self.workers[w].id;
                     assert!(
                         self.record.iter().any(|m| m.id == *id),
@@ -172,12 +228,7 @@
             // What a hanging machine had is over with its lease: it goes on
             // within it or not at all.
             if now - self.workers[w].renewed > LEASE_S {
-                let worker = &mut self.workers[w];
-                worker.tasks.clear();
-                worker.session += 1;
-                worker.session_since = now;
-                worker.renewed = now;
-                worker.asked = None;
+                self.session_over(w);
             }
             if self.workers[w].hung_until > now {
                 continue;
