--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -36,3 +36,4 @@
 pub mod snapshot;
 pub mod version_check;
 pub mod views;
+mod zones;
--- a/src/coordination/place.rs
+++ b/src/coordination/place.rs
@@ -43,31 +43,6 @@
     less_urgent: HashMap<(Option<usize>, Urgency), bool>,
 }
 
-/// Where tasks of a job may go, given its other tasks.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Zones {
-    /// Only this zone.
-    only: Option<String>,
-    /// Tasks in each zone.
-    count: Vec<(String, u32)>,
-    /// At most this many in one.
-    most: Option<u32>,
-}
-
-impl Zones {
-    pub fn allows(&self, zone: &str) -> bool {
-        if self.only.as_ref().is_some_and(|z| z != zone) {
-            return false;
-        }
-        let here = self
-            .count
-            .iter()
-            .find(|(z, _)| z == zone)
-            .map_or(0, |z| z.1);
-        self.most.is_none_or(|most| here < most)
-    }
-}
-
 impl Core {
     /// Whether placing is allowed yet. Asked after every report of a takeover,
     /// so each machine that turned out accounted for is looked at once.
@@ -129,57 +104,6 @@
         m.indexed = usable;
     }
 
-    pub(super) fn zones(&self, job: &Job) -> Zones {
-        let spec = &job.spec;
-        if !spec.one_zone && !spec.spread {
-            return Zones::default();
-        }
-        let mut count: Vec<(String, u32)> = Vec::new();
-        for (machine, _) in job.on.values() {
-            if let Some(m) = self.machines.get(machine) {
-                match count.iter_mut().find(|(z, _)| *z == m.info.zone) {
-                    Some(c) => c.1 += 1,
-                    None => count.push((m.info.zone.clone(), 1)),
-                }
-            }
-        }
-        let only = if !spec.one_zone {
-            None
-        } else if let Some((zone, _)) = count.first() {
-            Some(zone.clone())
-        } else {
-            self.roomiest_zone(spec)
-        };
-        Zones {
-            only,
-            count,
-            most: spec.spread.then(|| spec.tasks.div_ceil(2)),
-        }
-    }
-
-    /// The zone with most room for the job, which decides for all of its tasks. Only
-    /// machines that a task fits on count: with free CPUs beside tasks that take all
-    /// memory a zone was the roomiest for ever, and the job waited while another had room.
-    fn roomiest_zone(&self, spec: &JobSpec) -> Option<String> {
-        let mut room: Vec<(&str, f64)> = Vec::new();
-        let need = Room::of_task(spec);
-        for p in self.index.pools_for(spec, &self.types, |_| true) {
-            let zone = self.index.pool(p).zone.as_str();
-            let roomy = self.index.with_cpus(p, spec.cpus).iter();
-            let fits = |name: &Name| {
-                let m = self.machines.get(name);
-                m.is_some_and(|m| m.free.holds(&need))
-            };
-            let free: f64 = roomy.filter(|(_, n)| fits(n)).map(|(cpus, _)| cpus).sum();
-            match room.iter_mut().find(|(z, _)| *z == zone) {
-                Some(z) => z.1 += free,
-                None => room.push((zone, free)),
-            }
-        }
-        let best = room.into_iter().max_by(|a, b| a.1.total_cmp(&b.1));
-        best.map(|(zone, _)| zone.to_string())
-    }
-
     /// A pass over what may be placed since the last one: jobs with tasks that
     /// began to wait, and those that fit where room came free. What was passed
     /// over for other reasons (a limit, no victims) waits for the next full
--- a/src/coordination/preempt.rs
+++ b/src/coordination/preempt.rs
@@ -236,7 +236,7 @@
         &self,
         machine: &Name,
         job: &Job,
-        zones: &super::place::Zones,
+        zones: &super::zones::Zones,
         lacking: bool,
         pass: &Pass,
         now: f64,
--- a/tests/layout.rs
+++ b/tests/layout.rs
@@ -9,7 +9,7 @@
 /// parted: they may shrink only.
 const LONGER: [(&str, usize); 8] = [
     ("src/coordination/core.rs", 580),
-    ("src/coordination/place.rs", 490),
+    ("src/coordination/place.rs", 414),
     ("crates/client/src/engine.rs", 469),
     ("crates/world/src/machines.rs", 456),
     ("crates/plan/tests/plan.rs", 482),
