--- a/tests/layout.rs
+++ b/tests/layout.rs
@@ -53,3 +53,19 @@
         assert!(!parted, "{name} has {lines} lines: take it off the list");
     }
 }
+
+/// Guards against a page that leads nowhere.
+#[test]
+fn links_of_the_architecture_page_exist() {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs");
+    let text = std::fs::read_to_string(docs.join("architecture.md")).expect("the page");
+    let links: Vec<&str> = text
+        .split("](")
+        .skip(1)
+        .filter_map(|rest| rest.split(')').next())
+        .collect();
+    assert!(links.len() > 20, "only {} links", links.len());
+    for link in links {
+        assert!(docs.join(link).exists(), "{link} does not exist");
+    }
+}
