--- a/src/coordination/job.rs
+++ b/src/coordination/job.rs
@@ -238,12 +238,6 @@
         true
     }
 
-    /// The machines of all attempts that may be on.
-    pub fn machines_on(&self) -> impl Iterator<Item = &Name> {
-        let copies = self.copies.iter().map(|(_, machine, _)| machine);
-        self.on.values().map(|(machine, _)| machine).chain(copies)
-    }
-
     /// How many attempts are on machines, or may be.
     pub fn attempts_on(&self) -> usize {
         self.on.len() + self.copies.len()
--- a/src/coordination/zones.rs
+++ b/src/coordination/zones.rs
@@ -45,7 +45,7 @@
             return Zones::default();
         }
         let mut count: Vec<(String, u32)> = Vec::new();
-        for machine in job.machines_on() {
+        for (machine, _) in job.on.values() {
             if let Some(m) = self.machines.get(machine) {
                 match count.iter_mut().find(|(z, _)| *z == m.info.zone) {
                     Some(c) => c.1 += 1,
