--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -166,7 +166,7 @@
 }
 
 fn service(name: &str, met: Met) -> ServiceRow {
-    let ago = |at: Option<std::time::Instant>| at.map(|t| t.elapsed().as_secs_f64());
+    let ago = |at: Option<actix_rt::time::Instant>| at.map(|t| t.elapsed().as_secs_f64());
     ServiceRow {
         name: name.into(),
         answered: met.answered,
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -3,7 +3,7 @@
 use super::drains::Wish;
 use super::fair::Fair;
 use super::fence::Fence;
-use super::job::{ByName, Job, Name, Names, TaskId};
+use super::job::{ByName, Job, Name, Names, TaskCounts, TaskId};
 use super::learn::Learned;
 use super::machine::{Active, Machine, Standing};
 use super::order::Order;
@@ -504,9 +504,12 @@
     }
 
     /// Done and running tasks of a job.
-    pub fn progress(&self, id: &str) -> Option<(u32, u32)> {
+    pub fn progress(&self, id: &str) -> Option<TaskCounts> {
         let job = self.jobs.get(id)?;
-        Some((job.written.len() as u32, job.running))
+        Some(TaskCounts {
+            done: job.written.len() as u32,
+            running: job.running,
+        })
     }
 
     /// Jobs whose marks differ from what is written: first those that are
--- a/src/coordination/job.rs
+++ b/src/coordination/job.rs
@@ -18,6 +18,13 @@
 /// A set of names.
 pub type Names = IndexSet<Name, RandomState>;
 
+/// How many tasks of a job are done and run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TaskCounts {
+    pub done: u32,
+    pub running: u32,
+}
+
 /// A task: its job and number. The number comes first, for it tells most tasks
 /// on a machine apart without a look at the names.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/src/coordination/ledger.rs
+++ b/src/coordination/ledger.rs
@@ -94,7 +94,7 @@
     }
     for part in parts {
         if let Some(last) = part.last {
-            node.finals.borrow_mut().put(&part.id, last);
+            node.terminal.borrow_mut().put(&part.id, last);
             if part.chunked {
                 over.push((part.id, last.tasks));
             }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -2,73 +2,54 @@
 //! plain cells suffice; no borrow is held across an await.
 
 use super::core::Core;
-use super::fresh::{self, Reads};
 use super::health::Health;
+use super::job_lookup::TerminalStates;
 use super::member::cover::{blind_s, Told};
 use super::member::tenure::{Tenure, Terms};
 use super::reach::Tally;
+use super::version_check::RecordCache;
 use crate::protocol::job::{JobSpec, JobState};
 use crate::protocol::mesh::Topic;
 use crate::protocol::policy::Policy;
 use crate::protocol::settings::Settings;
 use crate::storage::chunks::Written;
-use crate::storage::records::{self, Final, LiveJob};
-use crate::transport::clients::{
-    CloudClient, Failure, Lane, MeshClient, StateClient, WorkerClient,
-};
+use crate::storage::records::{self, Final};
+use crate::transport::clients::{CloudClient, MeshClient, StateClient, WorkerClient};
+use actix_rt::time::Instant;
 use hdrhistogram::Histogram;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::Notify;
 
-/// Final states, which never change, for as many jobs as fit.
-#[derive(Default)]
-pub struct Finals {
-    known: HashMap<String, Final>,
-    order: VecDeque<String>,
+/// A number for an incarnation; 52 bits survive any JSON reader.
+pub fn draw_boot() -> u64 {
+    use rand::{RngCore, SeedableRng};
+    rand::rngs::SmallRng::from_os_rng().next_u64() >> 12
 }
 
-impl Finals {
-    const MOST: usize = 4096;
+/// What a controller talks to.
+pub struct Clients {
+    pub state: StateClient,
+    pub cloud: CloudClient,
+    pub workers: WorkerClient,
+    pub mesh: MeshClient,
+}
 
-    pub fn get(&self, id: &str) -> Option<Final> {
-        self.known.get(id).copied()
-    }
-    /// True if it was not known.
-    pub fn put(&mut self, id: &str, state: Final) -> bool {
-        let new = self.known.insert(id.to_string(), state).is_none();
-        if new {
-            self.order.push_back(id.to_string());
-            if self.order.len() > Self::MOST {
-                if let Some(old) = self.order.pop_front() {
-                    self.known.remove(&old);
-                }
-            }
+impl Clients {
+    /// Clients over sockets.
+    pub fn new(settings: &Settings) -> Clients {
+        Clients {
+            state: StateClient::new(settings),
+            cloud: CloudClient::new(settings),
+            workers: WorkerClient::new(settings),
+            mesh: MeshClient::default(),
         }
-        new
     }
 }
 
-/// A job as the state service has it.
-#[derive(Debug)]
-pub enum Found {
-    Live(Rc<LiveJob>, u64),
-    Final(Final),
-    /// It is live, and its record says nothing to this version of the program: it
-    /// waits for one that can read it, and its user must be answered.
-    Unreadable(u64),
-    Nothing,
-}
-
-/// A number for an incarnation; 52 bits survive any JSON reader.
-pub fn draw_boot() -> u64 {
-    use rand::{RngCore, SeedableRng};
-    rand::rngs::SmallRng::from_os_rng().next_u64() >> 12
-}
-
 /// One controller.
 pub struct Node {
     pub settings: Settings,
@@ -87,7 +68,8 @@
     pub core: RefCell<Option<Core>>,
     /// Who owns the share, and what that rests on.
     pub tenure: RefCell<Tenure>,
-    pub finals: RefCell<Finals>,
+    /// Terminal states of jobs, as far as they were read or written here.
+    pub terminal: RefCell<TerminalStates>,
     /// Cancellations that users were told of by us.
     pub told_over: RefCell<Told>,
     /// Our share's machine record as it is written, by chunk.
@@ -106,7 +88,7 @@
     /// What operators were told of the owner's share, for when it is away.
     pub told: RefCell<HashMap<Topic, (f64, u64, String)>>,
     /// Live jobs as they were read, and polls that wait for a check of them.
-    pub reads: RefCell<Reads>,
+    pub records: RefCell<RecordCache>,
     /// Whether users should be sent here.
     pub health: RefCell<Health>,
     /// Workers' reports that came here while another one was the owner.
@@ -114,7 +96,14 @@
 }
 
 impl Node {
+    /// A controller that talks over sockets.
     pub fn new(settings: Settings, policy: Policy) -> Rc<Node> {
+        let clients = Clients::new(&settings);
+        Node::with_clients(settings, policy, clients)
+    }
+
+    /// A controller that talks through these clients.
+    pub fn with_clients(settings: Settings, policy: Policy, clients: Clients) -> Rc<Node> {
         let workers = &settings.cluster.workers;
         let terms = Terms {
             me: settings.host_name.clone(),
@@ -130,10 +119,10 @@
             bound_ms: settings.cluster.time_bound_ms.ceil() as u64,
         };
         Rc::new(Node {
-            state: StateClient::new(&settings),
-            cloud: CloudClient::new(&settings),
-            workers: WorkerClient::new(&settings),
-            mesh: MeshClient::default(),
+            state: clients.state,
+            cloud: clients.cloud,
+            workers: clients.workers,
+            mesh: clients.mesh,
             settings,
             policy,
             claiming: Cell::new(false),
@@ -142,7 +131,7 @@
             start: Instant::now(),
             core: RefCell::new(None),
             tenure: RefCell::new(Tenure::new(terms, draw_boot())),
-            finals: RefCell::default(),
+            terminal: RefCell::default(),
             told_over: RefCell::default(),
             written: RefCell::default(),
             calls: Cell::new(0),
@@ -151,7 +140,7 @@
             rolled: Cell::default(),
             accept_ms: RefCell::new(Histogram::new_with_bounds(1, 600_000, 2).ok()),
             told: RefCell::default(),
-            reads: RefCell::default(),
+            records: RefCell::default(),
             health: RefCell::default(),
             turned_away: RefCell::default(),
         })
@@ -165,7 +154,7 @@
     /// the other controllers told users, which is all that an owner asks for, did not
     /// have it: the job's tasks ran on.)
     pub fn learnt_final(&self, id: &str, state: Final) {
-        if self.finals.borrow_mut().put(id, state) && state.state == JobState::Cancelled {
+        if self.terminal.borrow_mut().put(id, state) && state.state == JobState::Cancelled {
             self.told_over.borrow_mut().note(id, self.now());
             if let Some(core) = self.core.borrow_mut().as_mut() {
                 core.job_over(id);
@@ -260,34 +249,6 @@
         (self.settings.cluster.state.value_kb * 1024.0 / 16.0).max(64.0) as u32
     }
 
-    /// Reads a job afresh. A job moves from live to final and never back, so
-    /// reading in this order cannot miss it.
-    pub async fn find(self: &Rc<Self>, id: &str) -> Result<Found, Failure> {
-        if let Some(state) = self.finals.borrow().get(id) {
-            return Ok(Found::Final(state));
-        }
-        if let Some((record, version)) = fresh::still(self, id).await? {
-            return Ok(Found::Live(record, version));
-        }
-        if let Some(entry) = self.state.get(&records::live(id), Lane::Data).await? {
-            let Ok(record) = entry.read() else {
-                tracing::error!(key = %entry.key, "unreadable job record");
-                return Ok(Found::Unreadable(entry.version));
-            };
-            let record = Rc::new(record);
-            self.reads.borrow_mut().learnt(&record, entry.version);
-            return Ok(Found::Live(record, entry.version));
-        }
-        match self.state.get(&records::fin(id), Lane::Data).await? {
-            Some(entry) => {
-                let state: Final = entry.read().map_err(|_| Failure::Unknown)?;
-                self.learnt_final(id, state);
-                Ok(Found::Final(state))
-            }
-            None => Ok(Found::Nothing),
-        }
-    }
-
     /// Whether the job can ever run: an error for the user, or `None` while we
     /// cannot tell.
     pub fn judge(&self, spec: &JobSpec) -> Option<Result<(), String>> {
--- a/src/coordination/version_check.rs
+++ b/src/coordination/version_check.rs
@@ -1,87 +1,107 @@
-//! Fresh answers for many polls at once. An answer to a user rests on a read of the
-//! state service that began after the question came; with a read for each of them a
-//! thousand small jobs take all of its requests, and polls, submissions and marks of
-//! everyone fail together. But a transaction without changes compares many versions
-//! at once: that a record which we have read is still the one that stands is all that
+//! Batched version checks. Every answer to a user rests on a read of the state service
+//! that began after the user's request; with one read for each poll, a thousand small
+//! jobs would use up the service's requests. A transaction without changes compares many
+//! versions at once, and that a record read earlier still has its version is all that
 //! most polls need to know.
 
 use super::node::Node;
 use crate::protocol::state::Txn;
 use crate::storage::records::{self, LiveJob};
-use crate::transport::clients::{Failure, Lane};
+use crate::transport::clients::{Failure, Lane, Timed};
+use actix_rt::time::Instant;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
 /// Most records remembered: some hundred bytes each.
-const MOST: usize = 2048;
-/// Checks follow each other by this much at least: a twentieth of what a user waits
-/// for an answer, and ten requests a second at most.
-const APART_S: f64 = 0.1;
+const MOST_RECORDS: usize = 2048;
+/// Time between two checks at least: a twentieth of what a user waits for an answer to a
+/// poll, so ten requests a second at most.
+const INTERVAL_S: f64 = 0.1;
+
+/// A job's live record with its version.
+#[derive(Debug, Clone)]
+pub struct VersionedRecord {
+    pub record: Rc<LiveJob>,
+    pub version: u64,
+}
 
 /// A live job as it was last read.
 #[derive(Debug)]
-struct Known {
-    record: Rc<LiveJob>,
-    version: u64,
-    /// It was another one the time before: marks come in, and comparing is in vain.
+struct Cached {
+    read: VersionedRecord,
+    /// The version differed at the read before: done marks come in, and a check would
+    /// mostly fail.
     changing: bool,
 }
 
-/// Someone who waits to hear whether the record stands under this version.
+/// A poll that waits to hear whether a record still has its version.
 #[derive(Debug)]
 struct Question {
     id: String,
     version: u64,
-    answer: oneshot::Sender<Result<bool, Failure>>,
+    answer: oneshot::Sender<Timed<bool>>,
 }
 
-/// What was read, and who asks.
+/// Live records as they were read, and the polls that wait for a check of them.
 #[derive(Debug, Default)]
-pub struct Reads {
-    known: HashMap<String, Known>,
+pub struct RecordCache {
+    cached: HashMap<String, Cached>,
+    /// Ids in the order in which they came, to evict the oldest.
     order: VecDeque<String>,
-    asked: Vec<Question>,
+    waiting: Vec<Question>,
+    /// Whether the checking task runs.
     checking: bool,
     checked_at: f64,
 }
 
-impl Reads {
-    /// The job's record was read, or written.
-    pub fn learnt(&mut self, record: &Rc<LiveJob>, version: u64) {
+impl RecordCache {
+    /// Remembers a record that was read or written.
+    pub fn insert(&mut self, record: &Rc<LiveJob>, version: u64) {
         let id = &record.spec.id;
-        let before = self.known.get(id).map(|k| k.version);
+        let before = self.cached.get(id).map(|c| c.read.version);
         if before.is_none() {
             self.order.push_back(id.clone());
-            if self.order.len() > MOST {
-                if let Some(old) = self.order.pop_front() {
-                    self.known.remove(&old);
-                }
-            }
+            self.evict();
         }
-        let known = Known {
-            record: record.clone(),
-            version,
+        let record = record.clone();
+        let cached = Cached {
+            read: VersionedRecord { record, version },
             changing: before.is_some_and(|v| v != version),
         };
-        self.known.insert(id.clone(), known);
+        let id = cached.read.record.spec.id.clone();
+        self.cached.insert(id, cached);
+    }
+
+    fn evict(&mut self) {
+        if self.order.len() <= MOST_RECORDS {
+            return;
+        }
+        if let Some(oldest) = self.order.pop_front() {
+            self.cached.remove(&oldest);
+        }
+    }
+
+    /// The record as it was last read.
+    pub fn get(&self, id: &str) -> Option<VersionedRecord> {
+        self.cached.get(id).map(|c| c.read.clone())
     }
 
-    /// The record to check, if that is likely to spare a read.
-    fn worth_checking(&self, id: &str) -> Option<(Rc<LiveJob>, u64)> {
-        let known = self.known.get(id).filter(|k| !k.changing)?;
-        Some((known.record.clone(), known.version))
+    /// The record to check, if a check is likely to spare a read.
+    fn worth_checking(&self, id: &str) -> Option<VersionedRecord> {
+        let cached = self.cached.get(id).filter(|c| !c.changing)?;
+        Some(cached.read.clone())
     }
 
-    /// Questions for the next check: each job once, as many as go.
-    fn batch(&mut self, most: usize) -> Vec<Question> {
+    /// Takes the questions of the next check: at most `most` jobs, each under one version.
+    fn take_batch(&mut self, most: usize) -> Vec<Question> {
         let mut jobs: Vec<(&str, u64)> = Vec::new();
         let mut taken = 0;
-        for question in &self.asked {
+        for question in &self.waiting {
             let (id, version) = (question.id.as_str(), question.version);
             if !jobs.contains(&(id, version)) {
-                // One job asked for under two versions waits for the next check.
+                // A job asked for under two versions waits for the check after this.
                 if jobs.len() >= most || jobs.iter().any(|j| j.0 == id) {
                     break;
                 }
@@ -89,78 +109,86 @@
             }
             taken += 1;
         }
-        self.asked.drain(..taken).collect()
+        self.waiting.drain(..taken).collect()
     }
 }
 
-/// The live job, if what was read of it before still stands: `None` if it must be read.
-pub async fn still(node: &Rc<Node>, id: &str) -> Result<Option<(Rc<LiveJob>, u64)>, Failure> {
-    let Some((record, version)) = node.reads.borrow().worth_checking(id) else {
+/// Whether the record that was read earlier still stands: `Ok(None)` if there is none to
+/// check or it has changed, so that it must be read.
+pub async fn unchanged(
+    node: &Rc<Node>,
+    id: &str,
+) -> Result<Option<(VersionedRecord, Instant)>, Failure> {
+    let Some(read) = node.records.borrow().worth_checking(id) else {
         return Ok(None);
     };
     let (answer, told) = oneshot::channel();
     let start = {
-        let mut reads = node.reads.borrow_mut();
-        reads.asked.push(Question {
+        let mut records = node.records.borrow_mut();
+        records.waiting.push(Question {
             id: id.to_string(),
-            version,
+            version: read.version,
             answer,
         });
-        !std::mem::replace(&mut reads.checking, true)
+        !std::mem::replace(&mut records.checking, true)
     };
     if start {
-        actix_rt::spawn(check(node.clone()));
+        actix_rt::spawn(check_until_idle(node.clone()));
     }
-    let stands = told.await.unwrap_or(Err(Failure::Refused))?;
-    Ok(stands.then_some((record, version)))
+    let check = told.await.map_err(|_| Failure::Refused)?;
+    let stands = check.result?;
+    Ok(stands.then_some((read, check.sent_at)))
 }
 
-/// Checks until nobody asks any more.
-async fn check(node: Rc<Node>) {
+/// Runs checks until no poll waits.
+async fn check_until_idle(node: Rc<Node>) {
     let most = 4 * node.settings.cluster.state.txn_ops;
     loop {
-        let pause_s = node.reads.borrow().checked_at + APART_S - node.now();
+        let pause_s = node.records.borrow().checked_at + INTERVAL_S - node.now();
         if pause_s > 0.0 {
             actix_rt::time::sleep(Duration::from_secs_f64(pause_s)).await;
         }
         let batch = {
-            let mut reads = node.reads.borrow_mut();
-            reads.checked_at = node.now();
-            let batch = reads.batch(most);
-            reads.checking = !batch.is_empty();
+            let mut records = node.records.borrow_mut();
+            records.checked_at = node.now();
+            let batch = records.take_batch(most);
+            records.checking = !batch.is_empty();
             batch
         };
         if batch.is_empty() {
             return;
         }
-        let mut txn = Txn::default();
-        let mut last = None;
-        let mut keys: Vec<(&str, u64)> = batch.iter().map(|q| (&*q.id, q.version)).collect();
-        keys.sort_unstable();
-        for (id, version) in keys {
-            if last != Some(id) {
-                txn = txn.when(&records::live(id), version);
-                last = Some(id);
+        let checked = node.state.timed_txn(&comparison(&batch), Lane::Data).await;
+        answer_batch(&node, batch, &checked);
+    }
+}
+
+/// A transaction that only compares: each job's record with the version asked for.
+fn comparison(batch: &[Question]) -> Txn {
+    let mut keys: Vec<(&str, u64)> = batch.iter().map(|q| (&*q.id, q.version)).collect();
+    keys.sort_unstable();
+    keys.dedup();
+    let when = |txn: Txn, (id, version): (&str, u64)| txn.when(&records::live(id), version);
+    keys.into_iter().fold(Txn::default(), when)
+}
+
+fn answer_batch(node: &Node, batch: Vec<Question>, checked: &Timed<u64>) {
+    let mut records = node.records.borrow_mut();
+    for question in batch {
+        let result = match &checked.result {
+            Ok(_) => Ok(true),
+            Err(Failure::Conflict(keys)) if keys.contains(&records::live(&question.id)) => {
+                Ok(false)
             }
-        }
-        let result = node.state.txn(&txn, Lane::Data).await;
-        let mut reads = node.reads.borrow_mut();
-        for question in batch {
-            let found = match &result {
-                Ok(_) => Ok(true),
-                Err(Failure::Conflict(keys)) => {
-                    let key = records::live(&question.id);
-                    if !keys.contains(&key) {
-                        // Nothing says that all that differ are named: once more.
-                        reads.asked.push(question);
-                        continue;
-                    }
-                    Ok(false)
-                }
-                Err(error) => Err(error.clone()),
-            };
-            // Who asked may be gone.
-            let _ = question.answer.send(found);
-        }
+            Err(Failure::Conflict(_)) => {
+                // Nothing says that every key that differs is named: check it once more.
+                records.waiting.push(question);
+                continue;
+            }
+            Err(error) => Err(error.clone()),
+        };
+        let sent_at = checked.sent_at;
+        // The poll may have been given up.
+        let _ = question.answer.send(Timed { result, sent_at });
     }
 }
--- /dev/null
+++ b/src/handlers/jobs.rs
@@ -0,0 +1,265 @@
+//! Submissions, polls and cancellations.
+//!
+//! Any controller answers for any job. An answer rests on [`job_lookup::find`], which is
+//! the last thing that a handler waits for, or on a write of its own.
+
+use super::reply::{json_response, no_such_job, read_body, refuse, try_elsewhere};
+use super::SharedNode;
+use crate::coordination::dispatch;
+use crate::coordination::job::TaskCounts;
+use crate::coordination::job_lookup::{self, Found, READ_AGE};
+use crate::coordination::ledger;
+use crate::coordination::node::Node;
+use crate::protocol::job::{
+    parse_submission, peek_id, valid_id, Accepted, JobSpec, JobState, Progress,
+};
+use crate::protocol::mesh::{Answer, Ask};
+use crate::protocol::state::Txn;
+use crate::storage::marks::Marks;
+use crate::storage::records::{self, Final, LiveJob};
+use crate::transport::clients::{Failure, Lane};
+use actix_web::http::StatusCode;
+use actix_web::web;
+use actix_web::HttpResponse;
+use std::rc::Rc;
+
+/// How long a user whose cancellation is written waits for the leader to hear of it: a
+/// twentieth of the 5 s that users wait for an answer.
+const LEADER_HEARS_S: f64 = 0.25;
+
+/// Attempts to cancel a job whose record changes meanwhile.
+const CANCEL_ATTEMPTS: usize = 8;
+
+/// `POST /work`: accepts a job once it is recorded.
+pub async fn submit(node: SharedNode, payload: web::Payload) -> HttpResponse {
+    let began = node.now();
+    let body = match read_body(payload).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal,
+    };
+    let spec = match parse_submission(&body) {
+        Ok(spec) => spec,
+        Err(why) => {
+            let refusal = refuse(StatusCode::BAD_REQUEST, &why);
+            return match peek_id(&body) {
+                Some(id) => known_or(&node, &id, refusal).await,
+                None => refusal,
+            };
+        }
+    };
+    match node.judge(&spec) {
+        Some(Ok(())) => accept(&node, spec, began).await,
+        Some(Err(why)) => {
+            let refusal = refuse(StatusCode::UNPROCESSABLE_ENTITY, &why);
+            known_or(&node, &spec.id, refusal).await
+        }
+        None => known_or(&node, &spec.id, try_elsewhere(&node)).await,
+    }
+}
+
+/// Records a valid job and tells the user.
+async fn accept(node: &Rc<Node>, spec: JobSpec, began: f64) -> HttpResponse {
+    let id = spec.id.clone();
+    if let Some(last) = node.terminal.borrow().get(&id) {
+        return accepted(StatusCode::OK, &id, last.state);
+    }
+    let record = LiveJob {
+        spec: Rc::new(spec),
+        at_ms: node.wall_ms(),
+        done: String::new(),
+    };
+    let txn = Txn::default()
+        .when(&records::live(&id), 0)
+        .when(&records::fin(&id), 0)
+        .put(&records::live(&id), &record);
+    let written = node.state.timed_txn(&txn, Lane::Data).await;
+    match written.result {
+        Ok(version) => {
+            log_accepted(&record.spec);
+            node.accepted_in(node.now() - began);
+            take_job(node, record, version);
+        }
+        Err(Failure::Conflict(_)) => return known_or(node, &id, try_elsewhere(node)).await,
+        Err(_) => return try_elsewhere(node),
+    }
+    // Guards against an answer that was held up: by now the user may have been told
+    // elsewhere that the job is over.
+    let over = node.terminal.borrow().get(&id).is_some();
+    if over || written.sent_at.elapsed() > READ_AGE {
+        return known_or(node, &id, try_elsewhere(node)).await;
+    }
+    accepted(StatusCode::CREATED, &id, JobState::Pending)
+}
+
+fn log_accepted(spec: &JobSpec) {
+    let due_s = spec.deadline_s.unwrap_or(0.0);
+    tracing::info!(job = %spec.id, class = %spec.class, team = %spec.team, tasks = spec.tasks, cpus = spec.cpus, estimate_s = spec.estimate_s, due_s, "accepted");
+}
+
+/// A job that was just recorded: the core learns of it at once where it is ours.
+fn take_job(node: &Rc<Node>, record: LiveJob, version: u64) {
+    let read = Rc::new(record.clone());
+    node.records.borrow_mut().insert(&read, version);
+    if let Some(core) = node.core.borrow_mut().as_mut() {
+        core.job_added(record, version, Marks::default());
+        core.place_news(node.now());
+    }
+    dispatch::drain(node);
+}
+
+fn accepted(status: StatusCode, id: &str, state: JobState) -> HttpResponse {
+    let id = id.into();
+    json_response(status, &Accepted { id, state })
+}
+
+/// The present state of a job that is known, whatever its repeated submission holds; else
+/// the refusal.
+async fn known_or(node: &Rc<Node>, id: &str, refusal: HttpResponse) -> HttpResponse {
+    let mut found = job_lookup::find(node, id).await;
+    let mut counts = None;
+    if matches!(found, Ok(Found::Live(..))) {
+        // Most of what comes here is unknown or over; only this needs the leader's counts,
+        // and the job once more, since waiting for them has aged the answer.
+        counts = task_counts(node, id).await;
+        found = job_lookup::find(node, id).await;
+    }
+    match found {
+        Ok(Found::Live(..)) => accepted(StatusCode::OK, id, live_state(counts)),
+        Ok(Found::Unreadable(_)) => accepted(StatusCode::OK, id, JobState::Pending),
+        Ok(Found::Final(last)) => accepted(StatusCode::OK, id, last.state),
+        Ok(Found::Nothing) => refusal,
+        Err(_) => try_elsewhere(node),
+    }
+}
+
+fn live_state(counts: Option<TaskCounts>) -> JobState {
+    match counts {
+        Some(counts) if counts.running > 0 => JobState::Running,
+        _ => JobState::Pending,
+    }
+}
+
+/// Done and running tasks, from the leader. Asked for before the job is looked up: the
+/// counts are for display, and waiting for them afterwards would age the answer.
+async fn task_counts(node: &Rc<Node>, id: &str) -> Option<TaskCounts> {
+    if node.terminal.borrow().get(id).is_some() {
+        return None;
+    }
+    if let Some(core) = node.core.borrow().as_ref() {
+        return core.progress(id);
+    }
+    let addr = node.peer(&node.other_owner()?)?;
+    match node.mesh.ask(addr, &Ask::Progress(id.to_string())).await? {
+        Answer::Progress { done, running } => Some(TaskCounts { done, running }),
+        _ => None,
+    }
+}
+
+/// `GET /work/{id}`: the state of a job.
+pub async fn query(node: SharedNode, path: web::Path<String>) -> HttpResponse {
+    let id = path.into_inner();
+    if !valid_id(&id) {
+        return no_such_job();
+    }
+    let counts = task_counts(&node, &id).await;
+    match job_lookup::find(&node, &id).await {
+        Ok(Found::Live(record, _)) => {
+            // Where the leader does not answer, what is in the record. Marks kept apart are
+            // hundreds of KiB for the largest jobs; the counts are worth no such read.
+            let unknown = TaskCounts {
+                done: record.marked(),
+                running: 0,
+            };
+            progress(&id, live_state(counts), counts.unwrap_or(unknown))
+        }
+        Ok(Found::Unreadable(_)) => progress(&id, JobState::Pending, TaskCounts::default()),
+        Ok(Found::Final(last)) => {
+            let counts = TaskCounts {
+                done: last.done,
+                running: 0,
+            };
+            progress(&id, last.state, counts)
+        }
+        Ok(Found::Nothing) => no_such_job(),
+        Err(_) => try_elsewhere(&node),
+    }
+}
+
+fn progress(id: &str, state: JobState, counts: TaskCounts) -> HttpResponse {
+    let body = Progress {
+        id: id.into(),
+        state,
+        done: counts.done,
+        running: counts.running,
+    };
+    json_response(StatusCode::OK, &body)
+}
+
+/// `POST /work/{id}/cancel`: answers once the cancellation is recorded and the leader has
+/// heard of it, or cannot be reached in a short time.
+pub async fn cancel(node: SharedNode, path: web::Path<String>) -> HttpResponse {
+    let id = path.into_inner();
+    if !valid_id(&id) {
+        return no_such_job();
+    }
+    // Done marks written meanwhile change the record's version: look again.
+    for _ in 0..CANCEL_ATTEMPTS {
+        let (record, version) = match job_lookup::find(&node, &id).await {
+            Ok(Found::Live(record, version)) => (Some(record), version),
+            Ok(Found::Unreadable(version)) => (None, version),
+            Ok(Found::Final(last)) => return accepted(StatusCode::OK, &id, last.state),
+            Ok(Found::Nothing) => return no_such_job(),
+            Err(_) => return try_elsewhere(&node),
+        };
+        let last = Final {
+            state: JobState::Cancelled,
+            tasks: record.as_ref().map_or(0, |r| r.spec.tasks),
+            done: record.as_ref().map_or(0, |r| r.marked()),
+        };
+        match node
+            .state
+            .txn(&cancellation(&id, version, &last), Lane::Data)
+            .await
+        {
+            Ok(_) => {
+                cancelled(&node, &id, last).await;
+                return accepted(StatusCode::OK, &id, JobState::Cancelled);
+            }
+            Err(Failure::Conflict(_)) => continue,
+            Err(_) => return try_elsewhere(&node),
+        }
+    }
+    try_elsewhere(&node)
+}
+
+fn cancellation(id: &str, version: u64, last: &Final) -> Txn {
+    Txn::default()
+        .when(&records::live(id), version)
+        .delete(&records::live(id))
+        .put(&records::fin(id), last)
+}
+
+/// A cancellation was recorded, and its user is about to be told.
+async fn cancelled(node: &Rc<Node>, id: &str, last: Final) {
+    tracing::info!(job = %id, "cancelled");
+    node.learnt_final(id, last);
+    dispatch::drain(node);
+    ledger::sweep_marks(node.clone(), id.into(), last.tasks);
+    if node.core.borrow().is_none() {
+        tell_leader(node, id).await;
+    }
+}
+
+/// Tells the leader of a cancellation before the user is told, so that it starts no task
+/// of the job afterwards. (It learns it from its watch as well, but later.) The message
+/// may be lost: what bounds the time then is `member::cover`.
+async fn tell_leader(node: &Rc<Node>, id: &str) {
+    let Some(addr) = node.other_owner().and_then(|o| node.peer(&o)) else {
+        return;
+    };
+    let message = Ask::Over(id.to_string());
+    let told = node.mesh.ask_within(addr, &message, LEADER_HEARS_S);
+    if told.await.is_none() {
+        tracing::debug!(job = %id, "the leader was not reached with a cancellation");
+    }
+}
--- /dev/null
+++ b/src/handlers/reply.rs
@@ -0,0 +1,71 @@
+//! Responses and request bodies that several handlers share.
+
+use super::MAX_BODY;
+use crate::coordination::node::Node;
+use crate::protocol::job::Refusal;
+use actix_http::ConnectionType;
+use actix_web::http::StatusCode;
+use actix_web::web::{self, Bytes};
+use actix_web::HttpResponse;
+use futures_util::StreamExt;
+use serde::Serialize;
+use serde_json::json;
+
+/// A response with a JSON body.
+pub fn json_response<T: Serialize>(status: StatusCode, body: &T) -> HttpResponse {
+    HttpResponse::build(status).json(body)
+}
+
+/// An error that says why.
+pub fn refuse(status: StatusCode, why: &str) -> HttpResponse {
+    json_response(status, &Refusal { error: why.into() })
+}
+
+/// A job of this name was never accepted.
+pub fn no_such_job() -> HttpResponse {
+    refuse(StatusCode::NOT_FOUND, "no such job")
+}
+
+/// The answer cannot be given or recorded now; the state service is usually back soon.
+pub fn unavailable() -> HttpResponse {
+    HttpResponse::ServiceUnavailable()
+        .insert_header(("retry-after", "1"))
+        .json(json!({"error": "not available now"}))
+}
+
+/// The same to a user. While only this controller is without contact to the state
+/// service the connection is closed too, so that the next one leads to another
+/// controller.
+pub fn try_elsewhere(node: &Node) -> HttpResponse {
+    let mut response = unavailable();
+    if node.health.borrow().away() {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
+    response
+}
+
+/// Reads a body of at most 64 KiB.
+pub async fn read_body(mut payload: web::Payload) -> Result<Bytes, HttpResponse> {
+    // Most bodies come in one piece, which then need not be copied.
+    let mut first = Bytes::new();
+    let mut body = Vec::new();
+    while let Some(chunk) = payload.next().await {
+        let Ok(chunk) = chunk else {
+            return Err(refuse(StatusCode::BAD_REQUEST, "unreadable body"));
+        };
+        if first.len().max(body.len()) + chunk.len() > MAX_BODY {
+            return Err(refuse(StatusCode::BAD_REQUEST, "body over 64 KiB"));
+        }
+        if first.is_empty() {
+            first = chunk;
+            continue;
+        }
+        if body.is_empty() {
+            body.extend_from_slice(&first);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(if body.is_empty() { first } else { body.into() })
+}
--- /dev/null
+++ b/src/handlers/reports.rs
@@ -0,0 +1,79 @@
+//! Workers' reports.
+
+use super::reply::{json_response, read_body, refuse, unavailable};
+use super::SharedNode;
+use crate::coordination::node::Node;
+use crate::coordination::reach;
+use crate::coordination::sessions::Answer;
+use crate::coordination::{dispatch, member};
+use crate::protocol::worker::{Redirect, Reply, ReportHead};
+use actix_web::http::StatusCode;
+use actix_web::web;
+use actix_web::HttpResponse;
+use std::rc::Rc;
+
+/// `POST /hello`: answered by the leader alone; others name it.
+pub async fn hello(node: SharedNode, payload: web::Payload) -> HttpResponse {
+    let body = match read_body(payload).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal,
+    };
+    wait_until_entitled(&node).await;
+    if !node.entitled() {
+        let leader = node.other_owner();
+        let redirect = Redirect {
+            to: leader.as_deref(),
+        };
+        return json_response(StatusCode::MISDIRECTED_REQUEST, &redirect);
+    }
+    let Ok(head) = serde_json::from_slice::<ReportHead>(&body) else {
+        return refuse(StatusCode::BAD_REQUEST, "not a report");
+    };
+    let now = node.now();
+    if let Some(core) = node.core.borrow_mut().as_mut() {
+        if let Some(token) = core.repeats(&head, now) {
+            let commands = Vec::new();
+            return json_response(StatusCode::OK, &Reply { token, commands });
+        }
+    }
+    let tasks = head.tasks;
+    let Some(report) = head.read() else {
+        return refuse(StatusCode::BAD_REQUEST, "not a report");
+    };
+    let verdict = match node.core.borrow_mut().as_mut() {
+        Some(core) => {
+            let verdict = core.hello(&report, now);
+            let order = (report.session, report.seq);
+            core.remember(&report.machine, order, tasks.get());
+            verdict
+        }
+        None => Answer::Refuse,
+    };
+    match verdict {
+        Answer::Orders(reply) => {
+            dispatch::drain(&node);
+            json_response(StatusCode::OK, &reply)
+        }
+        Answer::Refuse => unavailable(),
+        Answer::Superseded => {
+            member::superseded(&node);
+            unavailable()
+        }
+    }
+}
+
+/// A takeover may be under way here, or due because workers do not reach the leader: a
+/// worker turned away would connect anew and wait once more.
+async fn wait_until_entitled(node: &Rc<Node>) {
+    if node.entitled() {
+        return;
+    }
+    node.settled().await;
+    if node.entitled() {
+        return;
+    }
+    let lately = node.turned_away.borrow_mut().add(node.now());
+    if reach::owner_unreached(lately) {
+        node.moved().await;
+    }
+}
--- /dev/null
+++ b/src/handlers/status.rs
@@ -0,0 +1,44 @@
+//! Health and the overview of live jobs.
+
+use super::reply::{json_response, unavailable};
+use super::SharedNode;
+use crate::coordination::node::Node;
+use crate::protocol::mesh::{Answer, Ask};
+use actix_web::http::StatusCode;
+use actix_web::HttpResponse;
+use serde_json::json;
+use std::rc::Rc;
+
+/// `GET /up`: healthy once the cluster is known, and while the state service does not
+/// refuse this controller alone.
+pub async fn up(node: SharedNode) -> HttpResponse {
+    let loaded = node.tenure.borrow().view.loaded;
+    if loaded && !node.health.borrow().away() {
+        json_response(StatusCode::OK, &json!({"up": true}))
+    } else {
+        unavailable()
+    }
+}
+
+/// `GET /overview`: live jobs as a table, from the leader.
+pub async fn overview(node: SharedNode) -> HttpResponse {
+    let own = node.core.borrow().as_ref().map(|c| c.overview(node.now()));
+    let text = match own {
+        Some(text) => Some(text),
+        None => leaders_overview(&node).await,
+    };
+    match text {
+        Some(text) => HttpResponse::Ok()
+            .content_type("text/plain; charset=utf-8")
+            .body(text),
+        None => unavailable(),
+    }
+}
+
+async fn leaders_overview(node: &Rc<Node>) -> Option<String> {
+    let addr = node.peer(&node.other_owner()?)?;
+    match node.mesh.ask(addr, &Ask::Overview).await? {
+        Answer::Overview(text) => Some(text),
+        _ => None,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,11 +4,13 @@
 //!
 //! Layers, lower ones never importing higher ones: [`transport`] moves bytes,
 //! [`protocol`] knows what they mean, [`storage`] keeps the books, and
-//! [`coordination`] decides. [`app`] ties them together into a process.
+//! [`coordination`] decides. [`handlers`] answer calls, and [`app`] ties all together into a
+//! process.
 
 pub mod admin;
 pub mod app;
 pub mod coordination;
+pub mod handlers;
 pub mod protocol;
 pub mod storage;
 pub mod transport;
--- /dev/null
+++ b/src/transport/clients/workers.rs
@@ -0,0 +1,116 @@
+//! Client of the workers: direct commands, over a bounded number of kept connections.
+
+use crate::protocol::settings::Settings;
+use crate::protocol::worker::{Direct, Report};
+use crate::transport::http::{CallError, Http};
+use crate::transport::sockets::Sockets;
+use awc::http::Method;
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Client of the workers.
+///
+/// A connection to a worker is kept for later calls, and the pool closes none before the
+/// next call to the same address: machines that are gone leave theirs behind, and with
+/// as many machines as sockets the process had none left (for its own lease, say). So
+/// the addresses that the pool may hold are counted, and where they are as many as there
+/// are sockets to spare, all are closed and the pool begins anew.
+#[derive(Clone)]
+pub struct WorkerClient {
+    pool: Rc<RefCell<Pool>>,
+    share: Sockets,
+    /// Calls that can be under way at once.
+    pub sockets: usize,
+    timeout_s: f64,
+}
+
+struct Pool {
+    http: Http,
+    addresses: HashSet<SocketAddr>,
+}
+
+/// What came of direct commands.
+#[derive(Debug)]
+pub enum DirectOutcome {
+    /// Executed; the report is from after them.
+    Executed(Report),
+    /// Not executed, now or ever; the report says why.
+    Rejected(Report),
+    /// Never sent.
+    NotSent,
+    /// May be executed at any time while token and session match.
+    Unknown,
+}
+
+impl WorkerClient {
+    pub fn new(settings: &Settings) -> WorkerClient {
+        let timeout_s = settings.cluster.workers.report_s.clamp(1.0, 4.0);
+        WorkerClient::with_sockets(settings.cluster.quota.max_sockets, timeout_s)
+    }
+
+    /// For a process of so many sockets.
+    pub fn with_sockets(all: usize, timeout_s: f64) -> WorkerClient {
+        let share = Sockets::new(all);
+        let sockets = (share.all / 4).clamp(8, 128);
+        let pool = Pool {
+            http: Http::new(timeout_s / 2.0, sockets),
+            addresses: HashSet::new(),
+        };
+        WorkerClient {
+            pool: Rc::new(RefCell::new(pool)),
+            share,
+            sockets,
+            timeout_s,
+        }
+    }
+
+    /// Addresses to which a connection may be kept.
+    pub fn kept(&self) -> usize {
+        self.pool.borrow().addresses.len()
+    }
+
+    /// The process's sockets.
+    pub fn share(&self) -> &Sockets {
+        &self.share
+    }
+
+    /// The pool for a call to this address.
+    fn pool(&self, addr: SocketAddr) -> Http {
+        let mut pool = self.pool.borrow_mut();
+        // There may be fewer to spare than when the others were kept.
+        let others = pool.addresses.len() - usize::from(pool.addresses.contains(&addr));
+        if others >= self.share.to_workers() {
+            pool.addresses.clear();
+            // The old one goes with its last call.
+            pool.http = Http::new(self.timeout_s / 2.0, self.sockets);
+        }
+        pool.addresses.insert(addr);
+        pool.http.clone()
+    }
+
+    pub async fn send(&self, addr: SocketAddr, direct: &Direct) -> DirectOutcome {
+        let Ok(body) = serde_json::to_vec(direct) else {
+            return DirectOutcome::NotSent;
+        };
+        let sent = self
+            .pool(addr)
+            .call(addr, Method::POST, "/commands", Some(body), self.timeout_s)
+            .await;
+        match sent {
+            Ok(r) if r.status == 200 => match serde_json::from_slice(&r.body) {
+                Ok(report) => DirectOutcome::Executed(report),
+                Err(_) => DirectOutcome::Unknown,
+            },
+            Ok(r) if r.status == 409 => match serde_json::from_slice(&r.body) {
+                Ok(report) => DirectOutcome::Rejected(report),
+                Err(_) => DirectOutcome::Unknown,
+            },
+            Ok(r) if r.status == 400 => DirectOutcome::NotSent,
+            Ok(_) => DirectOutcome::Unknown,
+            Err(CallError::NotSent) => DirectOutcome::NotSent,
+            Err(CallError::Unknown) => DirectOutcome::Unknown,
+        }
+    }
+}
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -1,7 +1,9 @@
 //! One HTTP call with a timeout, and what is known about it when it failed.
 
 use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Largest response taken; watches and listings may be long.
@@ -29,14 +31,40 @@
     Unknown,
 }
 
-/// A client with its own connection pool.
+/// One call, as it is handed to an [`Exchange`].
+#[derive(Debug, Clone)]
+pub struct Call {
+    pub addr: SocketAddr,
+    pub method: awc::http::Method,
+    pub path: String,
+    pub body: Vec<u8>,
+    pub timeout: Duration,
+}
+
+/// Carries calls without sockets: a simulated network in tests.
+pub trait Exchange {
+    /// Answers the call within its timeout, or says why there is no answer.
+    fn call(&self, call: Call) -> LocalBoxFuture<'static, Result<Response, CallError>>;
+}
+
+/// What carries the calls of a client.
 #[derive(Clone)]
-pub struct Http {
-    client: awc::Client,
-    connect: Duration,
+enum Carrier {
+    /// A connection pool, and the time that connecting may take.
+    Pool(awc::Client, Duration),
+    Simulated(Rc<dyn Exchange>),
 }
 
+/// A client with its own connection pool.
+#[derive(Clone)]
+pub struct Http(Carrier);
+
 impl Http {
+    /// A client whose calls go to a simulated network.
+    pub fn simulated(exchange: Rc<dyn Exchange>) -> Http {
+        Http(Carrier::Simulated(exchange))
+    }
+
     /// `connect_s` bounds the time to connect, `sockets` the pool.
     pub fn new(connect_s: f64, sockets: usize) -> Http {
         let connect = Duration::from_secs_f64(connect_s);
@@ -54,7 +82,7 @@
             .disable_timeout()
             .no_default_headers()
             .finish();
-        Http { client, connect }
+        Http(Carrier::Pool(client, connect))
     }
 
     /// Calls `method path` at `addr` and reads the whole response.
@@ -67,8 +95,20 @@
         timeout_s: f64,
     ) -> Result<Response, CallError> {
         let timeout = Duration::from_secs_f64(timeout_s);
-        let request = self
-            .client
+        let (client, connect) = match &self.0 {
+            Carrier::Pool(client, connect) => (client, *connect),
+            Carrier::Simulated(exchange) => {
+                let call = Call {
+                    addr,
+                    method,
+                    path: path.to_string(),
+                    body: body.unwrap_or_default(),
+                    timeout,
+                };
+                return exchange.call(call).await;
+            }
+        };
+        let request = client
             .request(method, format!("http://{addr}{path}"))
             .insert_header(("content-type", "application/json"));
         let exchange = async {
@@ -92,7 +132,7 @@
         };
         // One bound for all: waiting for the pool, sending, the body. It leaves
         // the connector time to say that it never connected.
-        actix_rt::time::timeout(timeout + self.connect, exchange)
+        actix_rt::time::timeout(timeout + connect, exchange)
             .await
             .unwrap_or(Err(CallError::Unknown))
     }
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,403 @@
+//! Answers to users never go back, whichever controllers they ask, however close
+//! together, and whatever the state service does with transactions and their answers.
+
+mod common;
+mod simulated;
+
+use actix_web::http::Method;
+use common::*;
+use foxspur::coordination::job_lookup::READ_AGE;
+use foxspur::coordination::ledger;
+use foxspur::protocol::job::{JobState, Urgency};
+use foxspur::protocol::state::Txn;
+use foxspur::storage::marks::Marks;
+use foxspur::storage::records::{self, Final};
+use rand::Rng;
+use serde_json::json;
+use simulated::{block_on, Cluster, Controller};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, Instant};
+
+const JOBS: usize = 14;
+/// How long a user keeps repeating a submission or a cancellation.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// What a controller computes between a read and its answer, with room.
+const SLACK: Duration = Duration::from_millis(5);
+
+/// What an answer tells a user of a job: later ones never rank lower.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Told {
+    Unknown,
+    Accepted,
+    Done,
+    Withdrawn,
+}
+
+impl Told {
+    /// Whether a user who was told `self` may be told `later` afterwards.
+    fn allows(self, later: Told) -> bool {
+        match self {
+            Told::Done | Told::Withdrawn => later == self,
+            Told::Unknown | Told::Accepted => later >= self,
+        }
+    }
+}
+
+/// One answer: when its request reached the controller, and when the answer left.
+#[derive(Debug)]
+struct Answered {
+    job: usize,
+    controller: usize,
+    begun: Instant,
+    left: Instant,
+    told: Told,
+}
+
+/// How often what the test is about happened.
+#[derive(Default, Debug)]
+struct Met {
+    /// Answers to requests begun within 50 ms after another answer first told that the job
+    /// was accepted, done or cancelled.
+    close: usize,
+    /// Answers of which a newer one left elsewhere while they were worked out.
+    overtaken: usize,
+    unavailable: usize,
+    cancelled: usize,
+    done: usize,
+}
+
+struct Day {
+    cluster: Rc<Cluster>,
+    controllers: Vec<Controller>,
+    answers: RefCell<Vec<Answered>>,
+    unavailable: Cell<usize>,
+    /// Jobs whose cancellation a user asked for, and those that ended.
+    asked_to_cancel: RefCell<Vec<usize>>,
+    ended: RefCell<Vec<usize>>,
+}
+
+fn id(job: usize) -> String {
+    format!("run-{job:06}")
+}
+
+fn submission(job: usize) -> String {
+    json!({"name_id": id(job), "queue": "class", "owner": "vision", "shape": "sweep",
+        "urgency": "standard", "shards": 2, "cpus": 1.0, "cards": 0.0, "memory_gb": 1.0,
+        "bundle": "img", "image_gb": 1.0, "flavors": null, "site": null, "together": false,
+        "scatter": false, "standby": true, "expected_s": 20.0, "save_every_s": 0.0,
+        "save_cost_s": 0.0, "due_s": null})
+    .to_string()
+}
+
+impl Day {
+    fn draw(&self, range: std::ops::Range<u64>) -> u64 {
+        self.cluster.rng.borrow_mut().random_range(range)
+    }
+
+    fn chance(&self, share: f64) -> bool {
+        self.cluster.rng.borrow_mut().random_bool(share)
+    }
+
+    async fn pause(&self, ms: std::ops::Range<u64>) {
+        let ms = self.draw(ms);
+        sleep(Duration::from_millis(ms)).await;
+    }
+
+    /// A user's call at any controller; what it told, if anything.
+    async fn call(&self, job: usize, call: &'static str) -> Option<Told> {
+        let controller = self.draw(0..self.controllers.len() as u64) as usize;
+        let (method, path, body) = match call {
+            "submit" => (Method::POST, "/work".to_string(), submission(job)),
+            "poll" => (Method::GET, format!("/work/{}", id(job)), String::new()),
+            _ => (
+                Method::POST,
+                format!("/work/{}/cancel", id(job)),
+                String::new(),
+            ),
+        };
+        let begun = Instant::now();
+        let called = self.controllers[controller].call(method, &path, &body);
+        let (status, body) = called.await;
+        let text = String::from_utf8_lossy(&body).to_string();
+        let told = match status {
+            200 | 201 if text.contains("\"done\",") || text.contains("\"done\"}") => Told::Done,
+            200 | 201 if text.contains("withdrawn") => Told::Withdrawn,
+            200 | 201 => Told::Accepted,
+            404 => Told::Unknown,
+            503 => {
+                self.unavailable.set(self.unavailable.get() + 1);
+                return None;
+            }
+            other => panic!("{call} of {}: {other} {text}", id(job)),
+        };
+        let left = Instant::now();
+        self.answers.borrow_mut().push(Answered {
+            job,
+            controller,
+            begun,
+            left,
+            told,
+        });
+        Some(told)
+    }
+
+    /// Repeats a call, as users do, until it says what it should.
+    async fn until(&self, job: usize, call: &'static str, least: Told) -> bool {
+        let begun = Instant::now();
+        while begun.elapsed() < PATIENCE {
+            if self.call(job, call).await.is_some_and(|t| t >= least) {
+                return true;
+            }
+            self.pause(1000..1500).await;
+        }
+        false
+    }
+
+    /// Users ask at many controllers within milliseconds, and repeat the submission.
+    fn look_closely(self: &Rc<Self>, job: usize, submitted: bool) {
+        for _ in 0..self.controllers.len() + 3 {
+            let day = self.clone();
+            let (early, call) = (self.chance(0.7), self.chance(0.75));
+            actix_rt::spawn(async move {
+                day.pause(if early { 0..8 } else { 0..900 }).await;
+                let call = if call || !submitted { "poll" } else { "submit" };
+                day.call(job, call).await;
+            });
+        }
+    }
+
+    /// The leader records that the job is done, as `ledger` does.
+    async fn end(self: &Rc<Self>, job: usize) -> bool {
+        let id = id(job);
+        let key = records::live(&id);
+        let last = Final {
+            state: JobState::Done,
+            tasks: 2,
+            done: 2,
+        };
+        let version = self.cluster.store.borrow().version(&key);
+        if version == 0 {
+            return false;
+        }
+        let txn = Txn::default()
+            .when(&key, version)
+            .delete(&key)
+            .put(&records::fin(&id), &last);
+        if self.cluster.store.borrow_mut().apply(&txn).is_err() {
+            return false;
+        }
+        self.ended.borrow_mut().push(job);
+        self.pause(0..40).await;
+        self.controllers[0].node.learnt_final(&id, last);
+        true
+    }
+
+    /// The life of one job.
+    async fn live(self: Rc<Self>, job: usize) {
+        self.pause(0..20_000).await;
+        if self.chance(0.5) {
+            // Asked about before it is known, and while it is being accepted.
+            self.look_closely(job, false);
+        }
+        if self.chance(0.4) {
+            let day = self.clone();
+            actix_rt::spawn(async move {
+                // Repeated while the first is under way, elsewhere, and called off at once.
+                day.pause(0..700).await;
+                let told = day.call(job, "submit").await;
+                if told == Some(Told::Accepted) && day.chance(0.7) {
+                    day.asked_to_cancel.borrow_mut().push(job);
+                    day.call(job, "cancel").await;
+                    day.look_closely(job, true);
+                }
+            });
+        }
+        if !self.until(job, "submit", Told::Accepted).await {
+            return;
+        }
+        self.look_closely(job, true);
+        let ends = self.chance(0.6);
+        if ends {
+            let day = self.clone();
+            actix_rt::spawn(async move {
+                day.pause(0..3000).await;
+                if day.end(job).await {
+                    day.look_closely(job, true);
+                }
+            });
+        }
+        if self.chance(0.6) {
+            self.pause(0..3000).await;
+            self.asked_to_cancel.borrow_mut().push(job);
+            if self.chance(0.3) {
+                let day = self.clone();
+                actix_rt::spawn(async move {
+                    day.call(job, "cancel").await;
+                });
+            }
+            if self.until(job, "cancel", Told::Done).await {
+                self.look_closely(job, true);
+            }
+        }
+        self.pause(0..4000).await;
+        self.look_closely(job, true);
+    }
+
+    /// Guards against an answer older than one that had left before its request came, or
+    /// that had left the same controller at all, and against one that was held up for longer
+    /// than `READ_AGE`.
+    fn check(&self, seed: u64, met: &mut Met) {
+        let answers = self.answers.borrow();
+        // In the order in which they left.
+        for (n, late) in answers.iter().enumerate() {
+            let mut newer_left = false;
+            for early in answers[..n].iter().filter(|e| e.job == late.job) {
+                let began_later = early.left < late.begun;
+                let held_up = early.left + READ_AGE + SLACK < late.left;
+                let allowed = early.told.allows(late.told);
+                let knew_better = early.controller == late.controller;
+                assert!(
+                    allowed || !began_later && !held_up && !knew_better,
+                    "seed {seed}, job {}: {early:?}, then {late:?}",
+                    late.job
+                );
+                let after = late.begun.saturating_duration_since(early.left);
+                let close = began_later && early.told > Told::Unknown;
+                met.close += usize::from(close && after < Duration::from_millis(50));
+                newer_left |= !allowed;
+            }
+            met.overtaken += usize::from(newer_left);
+            match late.told {
+                Told::Withdrawn => assert!(
+                    self.asked_to_cancel.borrow().contains(&late.job),
+                    "seed {seed}: nobody cancelled it: {late:?}"
+                ),
+                Told::Done => assert!(
+                    self.ended.borrow().contains(&late.job),
+                    "seed {seed}: it has not ended: {late:?}"
+                ),
+                Told::Unknown | Told::Accepted => {}
+            }
+            met.cancelled += usize::from(late.told == Told::Withdrawn);
+            met.done += usize::from(late.told == Told::Done);
+        }
+        met.unavailable += self.unavailable.get();
+    }
+}
+
+/// A core for the leader, which follows the live jobs by its watch.
+fn lead(controller: &Controller) {
+    let teams = vec![team("vision", 8.0, 16.0)];
+    *controller.node.core.borrow_mut() = Some(core(teams, 1, &["m-0"]));
+    ledger::follow(controller.node.clone(), 1, 0);
+}
+
+async fn play(seed: u64, met: &mut Met) {
+    let count = 3 + (seed % 5) as usize;
+    let (cluster, controllers) = Cluster::start(seed, count).await;
+    lead(&controllers[0]);
+    cluster.rough.set(true);
+    let day = Rc::new(Day {
+        cluster,
+        controllers,
+        answers: RefCell::default(),
+        unavailable: Cell::default(),
+        asked_to_cancel: RefCell::default(),
+        ended: RefCell::default(),
+    });
+    let lives = (0..JOBS).map(|job| actix_rt::spawn(day.clone().live(job)));
+    let lives: Vec<_> = lives.collect();
+    for life in lives {
+        life.await.expect("no panic");
+    }
+    sleep(Duration::from_secs(5)).await;
+    // A job that nobody submitted is never known.
+    for _ in 0..9 {
+        let told = day.call(JOBS, "poll").await;
+        assert!(told.is_none_or(|t| t == Told::Unknown), "seed {seed}");
+    }
+    day.check(seed, met);
+}
+
+/// Guards against an answer that goes back: a poll that waited for the leader's counts
+/// after its read, an acceptance whose answer was held up, a look-up that did not know
+/// what its own controller had learnt meanwhile.
+#[test]
+fn answers_never_go_back() {
+    let mut met = Met::default();
+    for seed in seeds(40) {
+        block_on(play(seed, &mut met));
+    }
+    println!("{met:?}");
+    assert!(
+        own_seeds()
+            || met.close > 1000
+                && met.overtaken > 20
+                && met.unavailable > 100
+                && met.cancelled > 200
+                && met.done > 200,
+        "too weak: {met:?}"
+    );
+}
+
+/// Guards against an acceptance told long after it was recorded: the job was repeated,
+/// accepted and cancelled elsewhere, or here, while its first answer was held up.
+#[test]
+fn an_acceptance_that_was_held_up_is_looked_up_again() {
+    // How long the answer is held up, where the job is cancelled, what is told then.
+    for (held_ms, cancelled_at, told) in [
+        (800, 1, "withdrawn"),
+        (300, 0, "withdrawn"),
+        (300, 1, "pending"),
+    ] {
+        block_on(async {
+            let (cluster, controllers) = Cluster::start(1, 3).await;
+            let held = Duration::from_millis(held_ms);
+            cluster.hold_next.set(Some(held));
+            let submission = submission(1);
+            let first = controllers[0].call(Method::POST, "/work", &submission);
+            let others = async {
+                sleep(held / 4).await;
+                let repeated = controllers[1].call(Method::POST, "/work", &submission);
+                assert_eq!(repeated.await.0, 200);
+                let path = format!("/work/{}/cancel", id(1));
+                let cancelled = controllers[cancelled_at].call(Method::POST, &path, "");
+                assert_eq!(cancelled.await.0, 200);
+            };
+            let ((status, body), ()) = tokio::join!(first, others);
+            let body = String::from_utf8_lossy(&body);
+            assert!(
+                body.contains(told),
+                "{held_ms} ms, at {cancelled_at}: {status} {body}"
+            );
+        });
+    }
+}
+
+/// The leader hears of a cancellation before the user is told, though its watch says
+/// nothing; a leader that cannot be reached does not keep the user waiting for long.
+#[test]
+fn a_leader_hears_of_a_cancellation_before_its_user_is_told() {
+    for reachable in [true, false] {
+        block_on(async {
+            let (cluster, controllers) = Cluster::start(1, 3).await;
+            let mut core = core(vec![team("vision", 8.0, 16.0)], 1, &["m-0"]);
+            let record = live(spec(&id(1), "vision", Urgency::Standard, 2, 1.0), 0.0);
+            let txn = Txn::default().put(&records::live(&id(1)), &record);
+            let version = cluster.store.borrow_mut().apply(&txn).expect("free");
+            core.job_added(record, version, Marks::default());
+            *controllers[0].node.core.borrow_mut() = Some(core);
+            cluster.unreachable.set((!reachable).then_some(0));
+            let begun = Instant::now();
+            let path = format!("/work/{}/cancel", id(1));
+            let (status, _) = controllers[1].call(Method::POST, &path, "").await;
+            assert_eq!(status, 200);
+            assert!(begun.elapsed() < READ_AGE, "{:?}", begun.elapsed());
+            let core = controllers[0].node.core.borrow();
+            let over = core.as_ref().map(|c| c.jobs[id(1).as_str()].over);
+            assert_eq!(over, Some(reachable));
+        });
+    }
+}
--- /dev/null
+++ b/tests/simulated/mod.rs
@@ -0,0 +1,359 @@
+//! Several controllers in one process: their real handlers, a model of the state service,
+//! and a network that delays and loses calls, all in simulated time (tokio's paused clock).
+
+use super::common;
+use actix_http::Request;
+use actix_web::dev::{Service, ServiceResponse};
+use actix_web::http::Method;
+use actix_web::web::Data;
+use actix_web::{test, App};
+use bytes::Bytes;
+use foxspur::coordination::node::{Clients, Node};
+use foxspur::handlers;
+use foxspur::protocol::policy::Policy;
+use foxspur::protocol::settings::Settings;
+use foxspur::protocol::state::{Entry, Event, Listing, News, Revision, Txn};
+use foxspur::storage::records::{self, Share};
+use foxspur::transport::clients::{CloudClient, MeshClient, StateClient, WorkerClient};
+use foxspur::transport::http::{Call, CallError, Exchange, Http, Response};
+use foxspur_world::store::{Refusal, Store};
+use futures_util::future::LocalBoxFuture;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long a watch sleeps between two looks at the log.
+const WATCH_STEP: Duration = Duration::from_millis(20);
+
+/// A handler of a controller: method, path and body in, status and body out.
+type Handler = Rc<dyn Fn(Method, String, Vec<u8>) -> LocalBoxFuture<'static, (u16, Bytes)>>;
+
+/// How often each fault was drawn.
+#[derive(Default, Debug)]
+pub struct Faults {
+    pub refused: Cell<usize>,
+    pub answer_lost: Cell<usize>,
+    pub late: Cell<usize>,
+    pub slow: Cell<usize>,
+}
+
+/// What all controllers share.
+pub struct Cluster {
+    pub store: RefCell<Store>,
+    pub rng: RefCell<StdRng>,
+    pub faults: Faults,
+    /// Whether calls are delayed, refused and lost.
+    pub rough: Cell<bool>,
+    /// The answer of the next transaction is held up for this long.
+    pub hold_next: Cell<Option<Duration>>,
+    /// Calls to this controller are lost.
+    pub unreachable: Cell<Option<usize>>,
+    handlers: RefCell<Vec<(SocketAddr, Handler)>>,
+}
+
+/// One controller: the node, and its handlers for users.
+pub struct Controller {
+    pub node: Rc<Node>,
+    front: Handler,
+}
+
+fn bump(counter: &Cell<usize>) {
+    counter.set(counter.get() + 1);
+}
+
+/// Runs a future in simulated time: waiting costs nothing.
+pub fn block_on<F: std::future::Future>(future: F) -> F::Output {
+    let runtime = || {
+        tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .start_paused(true)
+            .build()
+            .expect("a runtime")
+    };
+    actix_rt::System::with_tokio_rt(runtime).block_on(future)
+}
+
+fn mesh_address(n: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n as u8 + 1], 8081))
+}
+
+/// The settings of controller `n` of `count`.
+fn settings(n: usize, count: usize) -> Settings {
+    let (head, rest) = common::SETTINGS.split_once("[[peers]]").expect("peers");
+    let (_, services) = rest.split_once("[services]").expect("services");
+    let head = head.replace("berth-0", &format!("berth-{n}"));
+    let head = head.replace("10.0.0.1:8081", &mesh_address(n).to_string());
+    let peer = |p: usize| {
+        let addr = mesh_address(p);
+        format!("[[peers]]\nhost_name = \"berth-{p}\"\nsite = \"a\"\naddr = \"{addr}\"\n")
+    };
+    let peers: String = (0..count).filter(|p| *p != n).map(peer).collect();
+    let services = services.replace("nodes = 2", &format!("nodes = {count}"));
+    let text = format!("{head}{peers}[services]{services}");
+    Settings::parse(&text).expect("good settings")
+}
+
+impl Cluster {
+    /// A cluster of `count` controllers, the first of them the leader.
+    pub async fn start(seed: u64, count: usize) -> (Rc<Cluster>, Vec<Controller>) {
+        let cluster = Rc::new(Cluster {
+            store: RefCell::default(),
+            rng: RefCell::new(StdRng::seed_from_u64(seed)),
+            faults: Faults::default(),
+            rough: Cell::new(false),
+            hold_next: Cell::new(None),
+            unreachable: Cell::new(None),
+            handlers: RefCell::default(),
+        });
+        let mut controllers = Vec::new();
+        for n in 0..count {
+            controllers.push(cluster.add(n, count).await);
+        }
+        cluster.elect(&controllers, 0);
+        (cluster, controllers)
+    }
+
+    async fn add(self: &Rc<Self>, n: usize, count: usize) -> Controller {
+        let settings = settings(n, count);
+        let over = |kind| {
+            Http::simulated(Rc::new(Network {
+                cluster: self.clone(),
+                kind,
+            }))
+        };
+        let clients = Clients {
+            state: StateClient::over(&settings, over(Kind::State), over(Kind::State)),
+            cloud: CloudClient::new(&settings),
+            workers: WorkerClient::new(&settings),
+            mesh: MeshClient::over(over(Kind::Mesh)),
+        };
+        let node = Node::with_clients(settings, Policy::default(), clients);
+        node.tenure.borrow_mut().view.types = Some(common::types());
+        let data = Data::new(node.clone());
+        let app = App::new().app_data(data.clone());
+        let front = handler(test::init_service(app.configure(handlers::front)).await);
+        let app = App::new().app_data(data);
+        let mesh = handler(test::init_service(app.configure(handlers::mesh)).await);
+        self.handlers.borrow_mut().push((mesh_address(n), mesh));
+        Controller { node, front }
+    }
+
+    /// Makes controller `leader` the leader in everyone's view.
+    pub fn elect(&self, controllers: &[Controller], leader: usize) {
+        let share = Share {
+            owner: format!("berth-{leader}"),
+            boot: 1,
+            term: 1,
+            teams: Vec::new(),
+            prior: Vec::new(),
+            bounded: true,
+        };
+        let txn = Txn::default().put(records::SHARE, &share);
+        let version = self.store.borrow_mut().apply(&txn).expect("no condition");
+        for controller in controllers {
+            let view = &mut controller.node.tenure.borrow_mut().view;
+            view.see_share(share.clone(), version);
+            view.see_alive(share.owner.clone(), share.boot, version);
+        }
+    }
+
+    /// A way through the network, in milliseconds.
+    fn way(&self) -> Duration {
+        let mut rng = self.rng.borrow_mut();
+        if !self.rough.get() {
+            return Duration::from_millis(1);
+        }
+        let ms = match rng.random_range(0..100) {
+            0..75 => rng.random_range(1..6),
+            75..92 => rng.random_range(6..150),
+            _ => rng.random_range(150..900),
+        };
+        if ms >= 500 {
+            bump(&self.faults.slow);
+        }
+        Duration::from_millis(ms)
+    }
+
+    fn drawn(&self, share: f64) -> bool {
+        self.rough.get() && self.rng.borrow_mut().random_bool(share)
+    }
+
+    /// One request to the state service, as it arrives there.
+    fn execute(&self, call: &Call) -> (u16, Vec<u8>) {
+        let json = |status, body: serde_json::Value| (status, body.to_string().into_bytes());
+        let store = &mut *self.store.borrow_mut();
+        if call.path == "/multi" {
+            let txn: Txn = serde_json::from_slice(&call.body).expect("a transaction");
+            return match store.apply(&txn) {
+                Ok(revision) => json(200, json!(Revision { revision })),
+                Err(Refusal::Conflict(failed)) => {
+                    json(409, json!({"failed": failed, "revno": store.revision}))
+                }
+                Err(Refusal::NoLease) => json(400, json!({"error": "no such lease"})),
+            };
+        }
+        if let Some(key) = call.path.strip_prefix("/keys/") {
+            let revision = store.revision;
+            return match store.get(key) {
+                Some(entry) => json(200, json!(entry)),
+                None => json(404, json!(Revision { revision })),
+            };
+        }
+        let under = call.path.split_once("under=").expect("a prefix").1;
+        let under = under.split('&').next().unwrap_or_default();
+        let items: Vec<Entry> = store.list(under);
+        let revision = store.revision;
+        json(
+            200,
+            json!(Listing {
+                items,
+                more: false,
+                revision
+            }),
+        )
+    }
+
+    /// A watch: changes under a prefix after a revision, as soon as there are any.
+    async fn follow(&self, path: &str) -> (u16, Vec<u8>) {
+        let field = |name: &str| {
+            let value = path.split_once(name).expect("a field").1;
+            value.split('&').next().unwrap_or_default().to_string()
+        };
+        let since: u64 = field("since=").parse().expect("a revision");
+        let wait_ms: u64 = field("wait_ms=").parse().expect("a time");
+        let prefix = field("under=");
+        for _ in 0..=wait_ms / WATCH_STEP.as_millis() as u64 {
+            let news = self.news(&prefix, since);
+            if !news.events.is_empty() {
+                return (200, json!(news).to_string().into());
+            }
+            tokio::time::sleep(WATCH_STEP).await;
+        }
+        (200, json!(self.news(&prefix, since)).to_string().into())
+    }
+
+    /// The changes under a prefix after a revision.
+    fn news(&self, prefix: &str, since: u64) -> News {
+        let store = self.store.borrow();
+        let changes = store.log.iter();
+        let wanted = changes.filter(|l| l.0 > since && l.1.starts_with(prefix));
+        News {
+            revision: store.revision,
+            events: wanted
+                .map(|l| Event::new(l.1.clone(), l.2.clone(), l.0))
+                .collect(),
+        }
+    }
+
+    /// A call to the state service over the network.
+    async fn to_state(self: Rc<Self>, call: Call) -> Result<Response, CallError> {
+        if call.path.starts_with("/follow") {
+            let (status, body) = self.follow(&call.path).await;
+            let body = body.into();
+            return Ok(Response { status, body });
+        }
+        tokio::time::sleep(self.way()).await;
+        if self.drawn(0.03) {
+            bump(&self.faults.refused);
+            let (status, body) = (503, Bytes::new());
+            return Ok(Response { status, body });
+        }
+        let writes = call.path == "/multi";
+        if writes && self.drawn(0.03) {
+            bump(&self.faults.late);
+            let late_ms = self.rng.borrow_mut().random_range(2_000..12_000);
+            actix_rt::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(late_ms)).await;
+                self.execute(&call);
+            });
+            return std::future::pending().await;
+        }
+        let (status, body) = self.execute(&call);
+        if self.drawn(0.05) {
+            bump(&self.faults.answer_lost);
+            return std::future::pending().await;
+        }
+        let held = match writes {
+            true => self.hold_next.take().unwrap_or_default(),
+            false => Duration::ZERO,
+        };
+        tokio::time::sleep(self.way() + held).await;
+        let body = body.into();
+        Ok(Response { status, body })
+    }
+
+    /// A call to another controller over the network.
+    async fn to_mesh(self: Rc<Self>, call: Call) -> Result<Response, CallError> {
+        tokio::time::sleep(self.way()).await;
+        let found = {
+            let handlers = self.handlers.borrow();
+            let at = handlers.iter().position(|(addr, _)| *addr == call.addr);
+            at.map(|n| (n, handlers[n].1.clone()))
+        };
+        let (n, handler) = found.ok_or(CallError::NotSent)?;
+        if self.unreachable.get() == Some(n) || self.drawn(0.05) {
+            return std::future::pending().await;
+        }
+        let (status, body) = handler(call.method, call.path, call.body).await;
+        tokio::time::sleep(self.way()).await;
+        Ok(Response { status, body })
+    }
+}
+
+enum Kind {
+    State,
+    Mesh,
+}
+
+/// The network as one controller's client sees it.
+struct Network {
+    cluster: Rc<Cluster>,
+    kind: Kind,
+}
+
+impl Exchange for Network {
+    fn call(&self, call: Call) -> LocalBoxFuture<'static, Result<Response, CallError>> {
+        let cluster = self.cluster.clone();
+        let timeout = call.timeout;
+        let answer: LocalBoxFuture<_> = match self.kind {
+            Kind::State => Box::pin(cluster.to_state(call)),
+            Kind::Mesh => Box::pin(cluster.to_mesh(call)),
+        };
+        Box::pin(async move {
+            let answer = tokio::time::timeout(timeout, answer).await;
+            answer.unwrap_or(Err(CallError::Unknown))
+        })
+    }
+}
+
+/// Wraps an application so that applications of any type can be kept together.
+fn handler<S>(app: S) -> Handler
+where
+    S: Service<Request, Response = ServiceResponse, Error = actix_web::Error> + 'static,
+{
+    let app = Rc::new(app);
+    Rc::new(move |method, path, body| {
+        let app = app.clone();
+        Box::pin(async move {
+            let request = test::TestRequest::with_uri(&path)
+                .method(method)
+                .set_payload(body)
+                .to_request();
+            let response = test::call_service(&*app, request).await;
+            let status = response.status().as_u16();
+            (status, test::read_body(response).await)
+        })
+    })
+}
+
+impl Controller {
+    /// A user's call.
+    pub async fn call(&self, method: Method, path: &str, body: &str) -> (u16, Bytes) {
+        let body = body.as_bytes().to_vec();
+        (self.front)(method, path.to_string(), body).await
+    }
+}
