--- a/src/coordination/member/claim.rs
+++ b/src/coordination/member/claim.rs
@@ -96,10 +96,13 @@
         core.job_added(record, entry.version, extra);
     }
     core.followed = revision;
-    // Of ours alone nobody else could tell: cancellations that we wrote meanwhile.
+    // Cancellations written meanwhile: of those that users were told of here nobody else
+    // could tell, and of others' the watch will tell, which is later.
     let now = node.now();
-    let ours = node.told_over.borrow().within(now - listed_at, now);
-    ours.iter().flatten().for_each(|id| core.job_over(id));
+    for cancellations in [&node.told_over, &node.heard_over] {
+        let since = cancellations.borrow().within(now - listed_at, now);
+        since.iter().flatten().for_each(|id| core.job_over(id));
+    }
     // Much may have happened while all this was read, or while we stood still.
     if !node.tenure.borrow_mut().begin(share.term, listed_at) {
         tracing::warn!(term = share.term, "share lost while it was read");
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -72,6 +72,8 @@
     pub terminal: RefCell<TerminalStates>,
     /// Cancellations that users were told of by us.
     pub told_over: RefCell<Told>,
+    /// Cancellations that other controllers told us of, for a core that is not there yet.
+    pub heard_over: RefCell<Told>,
     /// Our share's machine record as it is written, by chunk.
     pub written: RefCell<Written>,
     /// Direct calls to workers under way.
@@ -133,6 +135,7 @@
             tenure: RefCell::new(Tenure::new(terms, draw_boot())),
             terminal: RefCell::default(),
             told_over: RefCell::default(),
+            heard_over: RefCell::default(),
             written: RefCell::default(),
             calls: Cell::new(0),
             drains_taken: Cell::default(),
--- a/src/handlers/jobs.rs
+++ b/src/handlers/jobs.rs
@@ -202,12 +202,19 @@
     if !valid_id(&id) {
         return no_such_job();
     }
+    let known = node.terminal.borrow().get(&id).is_some();
     // Done marks written meanwhile change the record's version: look again.
     for _ in 0..CANCEL_ATTEMPTS {
         let (record, version) = match job_lookup::find(&node, &id).await {
             Ok(Found::Live(record, version)) => (Some(record), version),
             Ok(Found::Unreadable(version)) => (None, version),
-            Ok(Found::Final(last)) => return accepted(StatusCode::OK, &id, last.state),
+            Ok(Found::Final(last)) => {
+                // Carried out before, and the answer was lost: nobody told the leader.
+                if !known && last.state == JobState::Cancelled {
+                    tell_leader(&node, &id).await;
+                }
+                return accepted(StatusCode::OK, &id, last.state);
+            }
             Ok(Found::Nothing) => return no_such_job(),
             Err(_) => return try_elsewhere(&node),
         };
@@ -245,15 +252,16 @@
     node.learnt_final(id, last);
     dispatch::drain(node);
     ledger::sweep_marks(node.clone(), id.into(), last.tasks);
-    if node.core.borrow().is_none() {
-        tell_leader(node, id).await;
-    }
+    tell_leader(node, id).await;
 }
 
 /// Tells the leader of a cancellation before the user is told, so that it starts no task
 /// of the job afterwards. (It learns it from its watch as well, but later.) The message
 /// may be lost: what bounds the time then is `member::cover`.
 async fn tell_leader(node: &Rc<Node>, id: &str) {
+    if node.core.borrow().is_some() {
+        return;
+    }
     let Some(addr) = node.other_owner().and_then(|o| node.peer(&o)) else {
         return;
     };
--- a/src/handlers/peers.rs
+++ b/src/handlers/peers.rs
@@ -39,16 +39,24 @@
             Answer::TurnedAway(recent)
         }
         Ask::Over(id) => {
-            if let Some(core) = node.core.borrow_mut().as_mut() {
-                core.job_over(&id);
-            }
-            dispatch::drain(node);
+            job_over(node, &id);
             Answer::Agreed
         }
         Ask::Told(term, for_ms) => told(node, term, for_ms),
     }
 }
 
+/// Another controller has recorded a cancellation.
+fn job_over(node: &Rc<Node>, id: &str) {
+    // Guards against a share that is being read: the list of live jobs may have the job
+    // already, and its core, which is not there yet, would start it.
+    node.heard_over.borrow_mut().note(id, node.now());
+    if let Some(core) = node.core.borrow_mut().as_mut() {
+        core.job_over(id);
+    }
+    dispatch::drain(node);
+}
+
 /// What the leader's core says, if this controller leads.
 fn of_core(node: &Node, ask: impl FnOnce(&Core) -> Option<Answer>) -> Answer {
     let core = node.core.borrow();
