--- a/crates/world/src/history.rs
+++ b/crates/world/src/history.rs
@@ -6,6 +6,36 @@
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
+/// What an answer says of a job: no answer may rank lower than one that came before its
+/// question.
+#[derive(Serialize, Deserialize, Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[serde(rename_all = "snake_case")]
+pub enum Status {
+    Unknown,
+    Accepted,
+    Done,
+    Withdrawn,
+}
+
+impl Status {
+    /// What a user was told, if that says how the job stands.
+    fn of(what: &str) -> Option<Status> {
+        match what {
+            "accepted" | "known" => Some(Status::Accepted),
+            "done" => Some(Status::Done),
+            "withdrawn" => Some(Status::Withdrawn),
+            _ => None,
+        }
+    }
+
+    fn allows(self, later: Status) -> bool {
+        match self {
+            Status::Done | Status::Withdrawn => later == self,
+            Status::Unknown | Status::Accepted => later >= self,
+        }
+    }
+}
+
 /// One thing that happened.
 #[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -34,6 +64,12 @@
     },
     /// Somebody asked about a job that was accepted: whether there was an answer.
     Asked { job: String, answered: bool },
+    /// A controller answered a close look: what it said of the job, and when it was asked.
+    Looked {
+        job: String,
+        begun: f64,
+        status: Status,
+    },
     /// A fault was made.
     Fault { what: String },
     /// A limit of a team, and for how long a cancelled job's tasks may stay.
@@ -90,6 +126,12 @@
         entries.push(Entry { at, event });
     }
 
+    /// What was recorded after the first `seen` entries.
+    pub fn entries_from(&self, seen: usize) -> Vec<Entry> {
+        let entries = self.entries.lock().unwrap_or_else(|e| e.into_inner());
+        entries.get(seen..).unwrap_or_default().to_vec()
+    }
+
     pub fn entries(&self) -> Vec<Entry> {
         self.entries
             .lock()
@@ -127,6 +169,39 @@
     lost.iter().map(told).collect()
 }
 
+/// What an event tells a user of a job, and when the question was asked.
+fn said(entry: &Entry) -> Option<(&str, f64, Status)> {
+    match &entry.event {
+        Event::Looked { job, begun, status } => Some((job, *begun, *status)),
+        // When these were asked is not known: they are held against what came later only.
+        Event::Cancelled { job } => Some((job, f64::NEG_INFINITY, Status::Withdrawn)),
+        Event::Told { job, what, .. } => Some((job, f64::NEG_INFINITY, Status::of(what)?)),
+        _ => None,
+    }
+}
+
+/// Answers to close looks that are older than an answer that came before their question.
+fn went_back(entries: &[Entry]) -> Vec<String> {
+    let mut by_job: BTreeMap<&str, Vec<(f64, f64, Status)>> = BTreeMap::new();
+    for entry in entries {
+        if let Some((job, begun, status)) = said(entry) {
+            let answers = by_job.entry(job).or_default();
+            answers.push((begun, entry.at, status));
+        }
+    }
+    let mut broken = Vec::new();
+    for (job, answers) in by_job {
+        for (begun, _, later) in &answers {
+            let before = answers.iter().filter(|(_, at, _)| at < begun);
+            let older = before.map(|a| a.2).find(|early| !early.allows(*later));
+            if let Some(early) = older {
+                broken.push(format!("went_back: {job} is {early:?}, then {later:?}"));
+            }
+        }
+    }
+    broken
+}
+
 /// Holds a history against the rules; each broken one in a sentence.
 pub fn check(entries: &[Entry]) -> Vec<String> {
     let mut broken = Vec::new();
@@ -224,10 +299,11 @@
                     _ => {}
                 }
             }
-            Event::Fault { .. } | Event::Asked { .. } => {}
+            Event::Fault { .. } | Event::Asked { .. } | Event::Looked { .. } => {}
         }
     }
     broken.extend(forgotten(entries));
+    broken.extend(went_back(entries));
     if done.is_empty() {
         broken.push("nothing_ran: no task was done".into());
     }
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -3,6 +3,7 @@
 //! load through the client library, and a checker of histories.
 
 pub mod balancer;
+pub mod close_looks;
 pub mod cloud;
 pub mod controllers;
 pub mod history;
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -1,6 +1,7 @@
 //! Everything together: stand-ins, real controllers, faults on a schedule.
 
 use crate::balancer::{self, Trouble};
+use crate::close_looks::CloseLooks;
 use crate::cloud::{self, CameTo};
 use crate::controllers::{Controller, Place};
 use crate::history::{Event, History};
@@ -24,7 +25,8 @@
 /// `cut:N` (of a thousand answers), `reset:N` (the next answer after byte N),
 /// `delay:MS`, `deaf:S` (a machine whose reports arrive while it hears nothing),
 /// `late-reports:S`, `late-commands:S` (copies of reports or of direct commands follow, up
-/// to three leases later), `island:S` (a controller loses the state service and the others, not its workers), `blink` (a
+/// to three leases later), `lost-answers:S` (of one transaction in four), `close-looks:S`
+/// (users ask every controller as soon as one was told anything), `island:S` (a controller loses the state service and the others, not its workers), `blink` (a
 /// controller ends and is back at once).
 #[derive(Debug, Clone, PartialEq)]
 pub struct Fault {
@@ -63,6 +65,8 @@
             "deaf",
             "late-reports",
             "late-commands",
+            "lost-answers",
+            "close-looks",
             "island",
             "blink",
         ];
@@ -94,6 +98,7 @@
     pub state: StateService,
     pub trouble: Trouble,
     links: Links,
+    close_looks: CloseLooks,
     /// Where descriptions are uploaded and the history is read.
     pub control: SocketAddr,
     /// The load balancer's address, and the controllers' own.
@@ -252,6 +257,9 @@
         let fronts: Vec<SocketAddr> = places.iter().map(|p| p.front).collect();
         balancer::run(balancer, fronts.clone(), trouble.clone());
         actix_web::rt::spawn(ask_on(history.clone(), front));
+        let close_looks = CloseLooks::default();
+        let looking = close_looks.clone();
+        actix_web::rt::spawn(looking.run(history.clone(), fronts.clone()));
         let world = World {
             site,
             history,
@@ -259,6 +267,7 @@
             state,
             trouble,
             links,
+            close_looks,
             control: control_addr,
             front,
             fronts,
@@ -292,6 +301,8 @@
                 self.links.cut(n, s);
             }
             "deaf" => what += &format!(" {:?}", self.machines.deafen(s)),
+            "lost-answers" => self.state.lose_answers(s),
+            "close-looks" => self.close_looks.until(self.history.now() + s),
             "late-commands" => self.machines.repeat_commands(s),
             "late-reports" => self.machines.copy_reports(s),
             "pause" => {
--- a/crates/world/tests/history.rs
+++ b/crates/world/tests/history.rs
@@ -169,3 +169,32 @@
         assert!(!broken.iter().any(|b| b.contains("run-2")));
     }
 }
+
+/// An answer to a question that came after a newer answer is found, whatever it says; one
+/// that was under way is not.
+#[test]
+fn answers_that_go_back_are_found() {
+    use foxspur_world::history::Status::{self, Accepted, Done, Unknown, Withdrawn};
+    let look = |begun: f64, at: f64, status: Status| Entry {
+        at,
+        event: Event::Looked {
+            job: "run-1".into(),
+            begun,
+            status,
+        },
+    };
+    for (early, late, begun, found) in [
+        (Accepted, Unknown, 2.1, true),
+        (Accepted, Unknown, 1.9, false),
+        (Withdrawn, Accepted, 2.1, true),
+        (Withdrawn, Done, 2.1, true),
+        (Done, Withdrawn, 2.1, true),
+        (Accepted, Done, 2.1, false),
+        (Done, Done, 2.1, false),
+    ] {
+        let history = [look(1.0, 2.0, early), look(begun, 3.0, late)];
+        let broken = check(&history);
+        let went_back = broken.iter().any(|b| b.starts_with("went_back"));
+        assert_eq!(went_back, found, "{early:?}, then {late:?}: {broken:?}");
+    }
+}
--- /dev/null
+++ b/tests/simulated/state.rs
@@ -0,0 +1,111 @@
+//! The state service as it answers one request: keys, transactions, leases, watches.
+
+use super::{Call, Cluster, WATCH_STEP};
+use foxspur::protocol::state::{Entry, Event, Lease, LeaseRequest, Listing, News, Revision, Txn};
+use foxspur::storage::records;
+use foxspur_world::store::Refusal;
+use serde_json::json;
+use tokio::time::Instant;
+
+impl Cluster {
+    /// One request to the state service, as it arrives there.
+    pub(super) fn execute(&self, from: usize, call: &Call) -> (u16, Vec<u8>) {
+        let json = |status, body: serde_json::Value| (status, body.to_string().into_bytes());
+        let store = &mut *self.store.borrow_mut();
+        let now = self.start.elapsed().as_secs_f64();
+        store.tick(now);
+        if let Some(lease) = call.path.strip_prefix("/leases") {
+            let id = lease
+                .trim_matches('/')
+                .split('/')
+                .next()
+                .unwrap_or_default();
+            let id: Option<u64> = id.parse().ok();
+            return match (call.method.as_str(), id) {
+                ("POST", None) => {
+                    let wanted: LeaseRequest =
+                        serde_json::from_slice(&call.body).expect("a lease request");
+                    let lease = store.grant(wanted.ttl_ms as f64 / 1000.0, now);
+                    json(200, json!(Lease { lease }))
+                }
+                ("POST", Some(id)) if store.extend(id, now) => json(200, json!({})),
+                ("DELETE", Some(id)) => {
+                    store.end(id);
+                    json(200, json!({}))
+                }
+                _ => json(404, json!({})),
+            };
+        }
+        if call.path == "/multi" {
+            let txn: Txn = serde_json::from_slice(&call.body).expect("a transaction");
+            return match store.apply(&txn) {
+                Ok(revision) => json(200, json!(Revision { revision })),
+                Err(Refusal::Conflict(failed)) => {
+                    json(409, json!({"failed": failed, "revno": store.revision}))
+                }
+                Err(Refusal::NoLease) => json(400, json!({"error": "no such lease"})),
+            };
+        }
+        if let Some(key) = call.path.strip_prefix("/keys/") {
+            let revision = store.revision;
+            return match store.get(key) {
+                Some(entry) => json(200, json!(entry)),
+                None => json(404, json!(Revision { revision })),
+            };
+        }
+        let field = |name: &str| {
+            let value = call.path.split_once(name).map(|(_, rest)| rest);
+            value.map(|v| v.split('&').next().unwrap_or_default())
+        };
+        let under = field("under=").expect("a prefix");
+        let since = field("since=").unwrap_or_default();
+        let mut items: Vec<Entry> = store.list(under);
+        items.retain(|e| &*e.key > since);
+        let more = items.len() > self.page.get();
+        items.truncate(self.page.get());
+        if more && under == records::LIVE {
+            self.pages.borrow_mut().push((from, Instant::now()));
+        }
+        let revision = store.revision;
+        json(
+            200,
+            json!(Listing {
+                items,
+                more,
+                revision
+            }),
+        )
+    }
+
+    /// A watch: changes under a prefix after a revision, as soon as there are any.
+    pub(super) async fn follow(&self, path: &str) -> (u16, Vec<u8>) {
+        let field = |name: &str| {
+            let value = path.split_once(name).expect("a field").1;
+            value.split('&').next().unwrap_or_default().to_string()
+        };
+        let since: u64 = field("since=").parse().expect("a revision");
+        let wait_ms: u64 = field("wait_ms=").parse().expect("a time");
+        let prefix = field("under=");
+        for _ in 0..=wait_ms / WATCH_STEP.as_millis() as u64 {
+            let news = self.news(&prefix, since);
+            if !news.events.is_empty() {
+                return (200, json!(news).to_string().into());
+            }
+            tokio::time::sleep(WATCH_STEP).await;
+        }
+        (200, json!(self.news(&prefix, since)).to_string().into())
+    }
+
+    /// The changes under a prefix after a revision.
+    pub(super) fn news(&self, prefix: &str, since: u64) -> News {
+        let store = self.store.borrow();
+        let changes = store.log.iter();
+        let wanted = changes.filter(|l| l.0 > since && l.1.starts_with(prefix));
+        News {
+            revision: store.revision,
+            events: wanted
+                .map(|l| Event::new(l.1.clone(), l.2.clone(), l.0))
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/tests/simulated/users.rs
@@ -0,0 +1,51 @@
+//! What users submit and are told.
+
+use serde_json::json;
+
+/// The name of a job.
+pub fn id(job: usize) -> String {
+    format!("run-{job:06}")
+}
+
+/// A job of two tasks that the settings of the tests allow.
+pub fn submission(job: usize) -> String {
+    json!({"name_id": id(job), "queue": "class", "owner": "vision", "shape": "sweep",
+        "urgency": "standard", "shards": 2, "cpus": 1.0, "cards": 0.0, "memory_gb": 1.0,
+        "bundle": "img", "image_gb": 1.0, "flavors": null, "site": null, "together": false,
+        "scatter": false, "standby": true, "expected_s": 20.0, "save_every_s": 0.0,
+        "save_cost_s": 0.0, "due_s": null})
+    .to_string()
+}
+
+/// What an answer tells a user of a job: later ones never rank lower.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Told {
+    Unknown,
+    Accepted,
+    Done,
+    Withdrawn,
+}
+
+impl Told {
+    /// Whether a user who was told `self` may be told `later` afterwards.
+    pub fn allows(self, later: Told) -> bool {
+        match self {
+            Told::Done | Told::Withdrawn => later == self,
+            Told::Unknown | Told::Accepted => later >= self,
+        }
+    }
+
+    /// What an answer tells; nothing if the job cannot be answered for now.
+    pub fn read(status: u16, text: &str) -> Option<Told> {
+        match status {
+            200 | 201 if text.contains("\"done\",") || text.contains("\"done\"}") => {
+                Some(Told::Done)
+            }
+            200 | 201 if text.contains("withdrawn") => Some(Told::Withdrawn),
+            200 | 201 => Some(Told::Accepted),
+            404 => Some(Told::Unknown),
+            503 => None,
+            other => panic!("{other}: {text}"),
+        }
+    }
+}
--- a/tests/simulation/worker.rs
+++ b/tests/simulation/worker.rs
@@ -2,6 +2,61 @@
 
 use super::*;
 
+#[derive(Clone)]
+pub(crate) struct Task {
+    pub(crate) attempt: u64,
+    pub(crate) phase: Phase,
+    pub(crate) cause: Option<Cause>,
+    pub(crate) until: f64,
+}
+
+/// A worker by the protocol.
+pub(crate) struct Worker {
+    pub(crate) id: String,
+    pub(crate) session: u64,
+    pub(crate) seq: u64,
+    pub(crate) token: u64,
+    pub(crate) tasks: BTreeMap<(String, u64), Task>,
+    pub(crate) renewed: f64,
+    /// Send time of the report under way, and when its answer is given up.
+    pub(crate) asked: Option<(f64, f64)>,
+    pub(crate) next: f64,
+    pub(crate) hung_until: f64,
+    pub(crate) cut_until: f64,
+    /// Its reports arrive, answers and commands do not.
+    pub(crate) deaf_until: f64,
+    /// It reaches no owner, while direct commands reach it.
+    pub(crate) mute_until: f64,
+    pub(crate) up_since: f64,
+    pub(crate) session_since: f64,
+}
+
+impl Worker {
+    pub(crate) fn new(n: usize, now: f64) -> Worker {
+        Worker {
+            id: format!("m-{n}"),
+            session: 1,
+            seq: 0,
+            token: 0,
+            tasks: BTreeMap::new(),
+            renewed: now,
+            asked: None,
+            next: now,
+            hung_until: 0.0,
+            cut_until: 0.0,
+            deaf_until: 0.0,
+            mute_until: 0.0,
+            up_since: now,
+            session_since: now,
+        }
+    }
+
+    /// It does not do what it is told, or nobody can know.
+    pub(crate) fn is_lost(&self, now: f64) -> bool {
+        self.hung_until > now || self.mute_until > now || self.cut_until > now
+    }
+}
+
 impl World {
     pub(crate) fn report(&mut self, w: usize) -> Report {
         let worker = &mut self.workers[w];
--- a/tests/world.rs
+++ b/tests/world.rs
@@ -87,6 +87,28 @@
     assert!(met > 0, "nothing that ran was cancelled in the gap");
 }
 
+/// Users ask every controller as soon as one was told anything, cancel and repeat, while
+/// answers of transactions are lost, direct commands are carried out late, and controllers
+/// end or stand still: no answer is older than one that came before its question.
+#[test]
+fn answers_do_not_go_back_though_those_of_the_state_service_are_lost() {
+    let mut site = rough();
+    site.load.cancelled = 0.3;
+    let faults = [
+        "close-looks:12@0",
+        "lost-answers:9@1",
+        "late-commands:12@1",
+        "pause:2@3",
+        "blink@5",
+        "refuse:3@7",
+        "kill@9",
+    ];
+    let (entries, _) = play_site(site, &faults, JOBS);
+    let looked = |e: &&Entry| matches!(e.event, Event::Looked { .. });
+    let looks = entries.iter().filter(looked).count();
+    assert!(looks > 200, "only {looks} close looks were answered");
+}
+
 /// Plays a day on real processes; how many answers were cut.
 fn play_day(faults: &[&str]) -> usize {
     play_site(rough(), faults, JOBS).1
@@ -131,6 +153,9 @@
         // As the state service has it, whatever the library thinks.
         let (live, over) = (world.state.count("fx/live/"), world.state.count("fx/fin/"));
         assert_eq!((live, over), (0, jobs as usize));
+        let loses = faults.iter().any(|f| f.what == "lost-answers");
+        let lost = world.state.answers_lost();
+        assert!(!loses || lost > 5, "only {lost} answers were lost");
         let cuts = world.trouble.cuts.load(Ordering::Relaxed);
         let entries = world.history.entries();
         let asked = |e: &&Entry| matches!(e.event, Event::Asked { answered: true, .. });
