--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -1,7 +1,7 @@
 //! The cases.
 
 use crate::cluster::{Cluster, Job};
-use crate::machines::World;
+use crate::machines::{Machine, Run, World};
 use crate::record::Record;
 use crate::site;
 use std::sync::Arc;
@@ -10,6 +10,11 @@
 /// When a case stops waiting, in seconds since the start.
 const LAST_POLL_S: f64 = 106.0;
 
+/// For how long commands are held up. The page allows from 2 s to 16 s.
+const HELD_UP_S: f64 = 15.6;
+/// How many machines restart together.
+const RACK: usize = 6;
+
 fn sleep(seconds: f64) {
     std::thread::sleep(Duration::from_secs_f64(seconds));
 }
@@ -20,11 +25,19 @@
         "last-machine" => last_machine,
         "many-tasks" => many_tasks,
         "large-job" => large_job,
+        "rack-restart" => rack_restart,
+        "stale-start" => stale_start,
         _ => return 2,
     };
     let world = World::new(record.clone(), site::amman());
     let cluster = Cluster::start(world, program.to_vec(), dir);
-    let held = if cluster.wait_until_up(20.0) {
+    if case == "rack-restart" {
+        // The workers are up before the controllers, so their first sessions end unanswered.
+        add_fleet(&cluster, 10, 0);
+        sleep(world_lease_s(&cluster) - 2.5);
+    }
+    cluster.spawn_all();
+    let held = if cluster.wait_until_up(30.0) {
         play(&cluster, trouble)
     } else {
         None
@@ -41,6 +54,10 @@
     }
 }
 
+fn world_lease_s(cluster: &Cluster) -> f64 {
+    cluster.world.site.lease_s
+}
+
 fn add_fleet(cluster: &Cluster, edge_small: usize, batch_big: usize) {
     for _ in 0..edge_small {
         cluster
@@ -189,3 +206,106 @@
     ));
     Some(done)
 }
+
+/// Six of ten machines restart at once, while a start command to one of them is on its way and is
+/// held up.
+fn rack_restart(cluster: &Cluster, trouble: bool) -> Option<bool> {
+    let world = &cluster.world;
+    // The workers count more reports until the restart than in the time after it.
+    sleep(25.0);
+    let machines = world.machines.lock().unwrap().clone();
+    if machines.iter().any(|machine| machine.tenure() != 2) {
+        return None;
+    }
+    if trouble {
+        for machine in &machines {
+            *machine.held_s.lock().unwrap() = Some(HELD_UP_S);
+        }
+    }
+    let job = Job::new(1, 1, 8.0, 8.0, 60.0, |_| 60.0);
+    if !cluster.submit(&job, 0) {
+        return None;
+    }
+    if trouble {
+        let is_held = |machine: &&Arc<Machine>| machine.held_since.lock().unwrap().is_some();
+        let deadline = world.record.now() + 5.0;
+        while !machines.iter().any(|machine| is_held(&machine)) {
+            if world.record.now() > deadline {
+                return None;
+            }
+            sleep(0.02);
+        }
+        let target = machines.iter().find(is_held)?;
+        // The rack restarts after the target's next report and those of a few others, so that the
+        // target is neither the first nor the last of them to fall silent.
+        let called_at = world.record.now();
+        let answered = |machine: &Arc<Machine>| *machine.answered_at.lock().unwrap();
+        let mut others: Vec<Arc<Machine>> = machines.clone();
+        others.retain(|machine| machine.name != target.name);
+        while world.record.now() < called_at + 1.2 {
+            let later = |m: &&Arc<Machine>| answered(m) > answered(target);
+            if answered(target) > called_at && others.iter().filter(later).count() >= RACK / 2 {
+                break;
+            }
+            sleep(0.005);
+        }
+        others.sort_by(|a, b| answered(b).total_cmp(&answered(a)));
+        let mut rack: Vec<&Arc<Machine>> = others.iter().take(RACK - 1).collect();
+        rack.push(target);
+        for machine in &machines {
+            if rack.iter().all(|m| m.name != machine.name) {
+                *machine.held_s.lock().unwrap() = None;
+            }
+        }
+        rack.iter().for_each(|machine| machine.restart(world));
+    }
+    sleep(HELD_UP_S + 4.0);
+    let runs = world.runs_of(&job.id);
+    let now = world.record.now();
+    let mut twice = false;
+    for (i, first) in runs.iter().enumerate() {
+        world.record.say(format!("{first:?}"));
+        let overlaps = |second: &&Run| second.began < first.ended.unwrap_or(now);
+        for second in runs[i + 1..].iter().filter(overlaps) {
+            twice |= second.machine != first.machine;
+        }
+    }
+    (!runs.is_empty()).then_some(!twice)
+}
+
+/// The leader is cut off from the state service and the other controllers, and a job is cancelled
+/// through another controller. Counts the starts that arrive after the answer.
+fn stale_start(cluster: &Cluster, trouble: bool) -> Option<bool> {
+    let world = &cluster.world;
+    add_fleet(cluster, 4, 0);
+    let job = Job::new(1, 2000, 1.0, 1.0, 0.6, |_| 0.6);
+    if !cluster.submit(&job, 0) {
+        return None;
+    }
+    wait_for_runs(cluster, &job, 60, 15.0)?;
+    let leader = cluster.leader()?;
+    if trouble {
+        cluster.cut_from_state_and_peers(leader, true);
+        sleep(0.3);
+    }
+    let status = cluster.cancel(&job.id, (leader + 1) % cluster.nodes.len());
+    let told = world.record.now();
+    if status.as_deref() != Some("withdrawn") {
+        return None;
+    }
+    sleep(8.0);
+    if trouble {
+        cluster.cut_from_state_and_peers(leader, false);
+    }
+    sleep(2.0);
+    let mut late = world.runs_of(&job.id);
+    late.retain(|run| run.ordered > told + 0.5);
+    world.record.say(format!(
+        "the user was told at {told:.3}; starts that arrived more than 0.5 s later: {}",
+        late.len()
+    ));
+    for run in &late {
+        world.record.say(format!("{run:?}"));
+    }
+    Some(late.is_empty())
+}
--- a/review/rig/cluster.rs
+++ b/review/rig/cluster.rs
@@ -5,8 +5,9 @@
 use crate::machines::{Description, World};
 use crate::site::{self, Node};
 use crate::state::{Port, State};
+use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::CommandExt;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -82,24 +83,29 @@
     program: Vec<String>,
     dir: String,
     children: Mutex<Vec<Option<Child>>>,
+    /// Hold the ports of controllers that were not started yet.
+    reserved: Mutex<HashMap<usize, [TcpListener; 2]>>,
 }
 
 impl Cluster {
-    /// Starts the stand-ins and the controllers. `program` is the command of the deploy file.
+    /// Starts the stand-ins. `program` is the command of the deploy file.
     pub fn start(world: Arc<World>, program: Vec<String>, dir: &str) -> Cluster {
         let site = world.site.clone();
         let state = State::start(&site);
         let cloud = world.start_cloud();
         let count = site.controllers.len();
         let mut ports = Vec::new();
+        let mut reserved = HashMap::new();
         let mut nodes: Vec<Node> = (0..count)
             .map(|i| {
                 let (addr, port) = state.port();
                 ports.push(port);
+                let ((front_port, front), (mesh_port, mesh)) = (http::listen(), http::listen());
+                reserved.insert(i, [front_port, mesh_port]);
                 Node {
                     name: format!("berth-{i}"),
-                    front: http::free_addr(),
-                    mesh: http::free_addr(),
+                    front,
+                    mesh,
                     state: addr,
                     links: Vec::new(),
                 }
@@ -121,7 +127,7 @@
             .iter()
             .map(|node| (node.name.clone(), node.front))
             .collect();
-        let cluster = Cluster {
+        Cluster {
             world,
             state,
             nodes,
@@ -130,12 +136,17 @@
             program,
             dir: dir.into(),
             children: Mutex::new((0..count).map(|_| None).collect()),
-        };
-        (0..count).for_each(|i| cluster.spawn(i));
-        cluster
+            reserved: Mutex::new(reserved),
+        }
+    }
+
+    /// Starts the controllers.
+    pub fn spawn_all(&self) {
+        (0..self.nodes.len()).for_each(|i| self.spawn(i));
     }
 
     pub fn spawn(&self, index: usize) {
+        drop(self.reserved.lock().unwrap().remove(&index));
         let name = &self.nodes[index].name;
         let log = std::fs::File::options()
             .create(true)
--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -34,8 +34,8 @@
 
 pub type Handler = Arc<dyn Fn(&Request) -> Reply + Send + Sync>;
 
-/// Listens on a free port of a loopback address of this run's own. Runs side by side, whose
-/// controllers bind ports that were free a moment before, then can't take each other's.
+/// Listens on a free port of a loopback address of this run's own, so that runs side by side can't
+/// take each other's ports.
 pub fn listen() -> (TcpListener, SocketAddr) {
     let [_, a, b, c] = std::process::id().to_be_bytes();
     let ip = std::net::Ipv4Addr::new(127, 64 + a % 64, b, c);
@@ -44,11 +44,6 @@
     (listener, addr)
 }
 
-/// An address that is free now, for a process that binds it itself.
-pub fn free_addr() -> SocketAddr {
-    listen().1
-}
-
 pub fn serve(listener: TcpListener, handler: Handler) {
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
--- a/review/rig/machines.rs
+++ b/review/rig/machines.rs
@@ -90,6 +90,12 @@
     rented: Instant,
     died: Mutex<Option<Instant>>,
     gone: AtomicBool,
+    /// When its last report was answered with 200.
+    pub answered_at: Mutex<f64>,
+    /// Direct commands are held up on their way for this time, in seconds, and get no answer.
+    pub held_s: Mutex<Option<f64>>,
+    /// When the first direct command with orders arrived on its way while they were held up.
+    pub held_since: Mutex<Option<f64>>,
     inner: Mutex<Inner>,
 }
 
@@ -150,6 +156,9 @@
             rented: now,
             died: Mutex::new(None),
             gone: AtomicBool::new(false),
+            answered_at: Mutex::new(0.0),
+            held_s: Mutex::new(None),
+            held_since: Mutex::new(None),
             inner: Mutex::new(Inner {
                 tenure: 1,
                 serial: 0,
@@ -397,6 +406,44 @@
         }
     }
 
+    /// The machine restarts: all that is on it is gone, and its worker begins anew.
+    pub fn restart(&self, world: &World) {
+        self.drop_tasks(world, "machine restarted");
+        let mut inner = self.inner.lock().unwrap();
+        inner.tenure = 1;
+        inner.serial = 0;
+        inner.epoch = 0;
+        inner.lease_from = Instant::now();
+        inner.images.clear();
+        inner.changed = true;
+        world.record.say(format!(
+            "{} restarts: tenure 1, serial 0, epoch 0, no tasks",
+            self.name
+        ));
+    }
+
+    /// The session of its worker.
+    pub fn tenure(&self) -> u64 {
+        self.inner.lock().unwrap().tenure
+    }
+
+    /// Holds a direct command up, if they are held up now. Returns whether it was.
+    fn hold_up(&self, world: &World, request: &Request) -> bool {
+        let Some(held_s) = *self.held_s.lock().unwrap() else {
+            return false;
+        };
+        let arrived = world.record.now();
+        if request.body.contains("\"verb\"") {
+            self.held_since.lock().unwrap().get_or_insert(arrived);
+        }
+        world.record.say(format!(
+            "{}: held up for {held_s} s: {}",
+            self.name, request.body
+        ));
+        std::thread::sleep(Duration::from_secs_f64(held_s));
+        true
+    }
+
     /// Ends the lease if it is over, and moves the tasks on.
     fn advance(&self, world: &World) {
         let now = world.record.now();
@@ -526,6 +573,7 @@
                         Some((node + 1) % nodes.len())
                     } else {
                         *world.leader.lock().unwrap() = Some(node);
+                        *self.answered_at.lock().unwrap() = world.record.now();
                         self.take_response(world, &body, tenure, sent);
                         None
                     }
@@ -588,6 +636,10 @@
             std::thread::sleep(Duration::from_secs(30));
             return Reply::Close;
         }
+        let late = request.path == "/commands" && self.hold_up(world, request);
+        if self.is_dead() {
+            return Reply::Close;
+        }
         self.advance(world);
         let mut inner = self.inner.lock().unwrap();
         if request.path == "/status" {
@@ -612,6 +664,13 @@
         if accepted {
             self.execute(world, &mut inner, body.get("orders").arr());
         }
+        if late {
+            let accepted = if accepted { "carried out" } else { "refused" };
+            world
+                .record
+                .say(format!("{}: late, {accepted}: {}", self.name, request.body));
+            return Reply::Close;
+        }
         let report = self.report(&mut inner).text();
         Reply::Answer(if accepted { 200 } else { 409 }, report)
     }
