--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -26,6 +26,7 @@
         "many-tasks" => many_tasks,
         "large-job" => large_job,
         "rack-restart" => rack_restart,
+        "small-tasks" => small_tasks,
         "stale-start" => stale_start,
         _ => return 2,
     };
@@ -161,6 +162,30 @@
     Some(done)
 }
 
+/// A job of many small tasks, of which more fit on a machine than a message can name.
+fn small_tasks(cluster: &Cluster, trouble: bool) -> Option<bool> {
+    let world = &cluster.world;
+    add_fleet(cluster, 2, 1);
+    let cpus = if trouble { 0.05 } else { 0.25 };
+    let mut job = Job::new(1, 1500, cpus, 0.08, 6.0, |_| 6.0);
+    job.site = Some("zarqa-dc");
+    if !cluster.submit(&job, 0) {
+        return None;
+    }
+    let done = cluster.wait_for(&job.id, "done", LAST_POLL_S, 5.0);
+    let over = world.over_limit.lock().unwrap().clone();
+    world.record.say(format!(
+        "{} runs, {} of {} tasks completed",
+        world.runs_of(&job.id).len(),
+        world.completed(&job.id).len(),
+        job.shards
+    ));
+    world
+        .record
+        .say(format!("messages above the limit of 64 KiB: {over:?}"));
+    Some(done)
+}
+
 /// A job whose record is just below the largest value that the state service stores when it is
 /// submitted, and above it once some of its tasks are done. Other jobs end meanwhile.
 fn large_job(cluster: &Cluster, trouble: bool) -> Option<bool> {
