--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 export PATH="$HOME/.cargo/bin:$PATH"
 root=$(cd "$(dirname "$0")/.." && pwd)
 mkdir -p "$root/target/review"
-rustc --edition 2021 -O -A dead_code -o "$root/target/review/rig" "$root/review/rig/main.rs"
+rustc --edition 2021 -O -A dead_code -o "$root/target/review/rig" "$root/review/main.rs"
--- a/review/rig/cases.rs
+++ b/review/cases.rs
@@ -99,7 +99,7 @@
 /// more of its type, and the machines of the other zone are idle.
 fn last_machine(cluster: &Cluster, trouble: bool) -> Option<bool> {
     let world = &cluster.world;
-    set_capacity(cluster, 10, 5);
+    set_capacity(cluster, 10, 3);
     add_fleet(cluster, 6, 1);
     let mut job = Job::new(1, 8, 2.0, 3.5, 15.0, |_| 15.0);
     job.site = Some("zarqa-dc");
