Metrics and a log line tell what delayed a controller's event loop

Neither logs nor metrics told a long placement pass from large messages or large reports. Change: foxspur_event_loop_delay_max_seconds and the log line 'event loop was delayed' show how late the dispatcher's tick was; foxspur_step_max shows the largest pass, message and report as counts.

--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -104,11 +104,34 @@
     Ok(())
 }
 
+fn work_metrics(registry: &Registry, scheduler: &Scheduler) -> prometheus::Result<()> {
+    let work = scheduler.work;
+    let gauges = register_gauges(
+        registry,
+        "foxspur_step_max",
+        "Largest amount of work in one step since this controller took over",
+        &["what"],
+    )?;
+    for (what, amount) in [
+        ("placements_per_pass", work.max_placements_per_pass as f64),
+        (
+            "attempts_summed_per_pass",
+            work.max_attempts_summed_per_pass as f64,
+        ),
+        ("commands_per_message", work.max_commands_per_message as f64),
+        ("attempts_per_report", work.max_attempts_per_report as f64),
+    ] {
+        gauges.with_label_values(&[what]).set(amount);
+    }
+    Ok(())
+}
+
 fn shard_metrics(registry: &Registry, scheduler: &Scheduler, now: f64) -> prometheus::Result<()> {
     job_metrics(registry, scheduler, now)?;
     machine_metrics(registry, scheduler, now)?;
     team_metrics(registry, scheduler)?;
     wait_metrics(registry, scheduler)?;
+    work_metrics(registry, scheduler)?;
     register_gauge(
         registry,
         "foxspur_unaccounted_machines",
@@ -156,6 +179,12 @@
     let registry = Registry::new();
     leadership_metrics(&registry, node)?;
     service_metrics(&registry, node)?;
+    register_gauge(
+        &registry,
+        "foxspur_event_loop_delay_max_seconds",
+        "Longest delay of the event loop since the process started",
+        node.loop_delay.get().max_delay_s(),
+    )?;
     if let Some(scheduler) = node.scheduler.borrow().as_ref() {
         shard_metrics(&registry, scheduler, node.now())?;
     }
--- a/src/coordination/agents/commands.rs
+++ b/src/coordination/agents/commands.rs
@@ -139,6 +139,7 @@
             }
         }
         self.outbox.swap_remove(name);
+        self.work.record_message(commands.len());
         commands
     }
 
@@ -178,6 +179,7 @@
         if commands.is_empty() && !probe {
             return None;
         }
+        self.work.record_message(commands.len());
         machine.call_in_flight = true;
         machine.called_at = now;
         machine.called_at_message = machine.last_message;
--- a/src/coordination/agents/dispatcher.rs
+++ b/src/coordination/agents/dispatcher.rs
@@ -15,6 +15,10 @@
 /// Ticks between two garbage collections, each with a log line on the load.
 const GARBAGE_COLLECTION_TICKS: u64 = 32;
 
+/// A delay of the event loop of this many seconds or more is logged: health checks and polls then
+/// time out.
+const LOGGED_LOOP_DELAY_S: f64 = 1.0;
+
 /// A direct call to be sent.
 struct OutgoingCall {
     /// Base term of the scheduler that created the call.
@@ -109,11 +113,20 @@
     pub ticks: u64,
 }
 
+/// Time between two ticks: a third of a heartbeat interval, but between 0.1 and 0.5 s. Work that
+/// becomes due at a certain time, such as probes and lease expiry, then waits only for a short
+/// time.
+fn tick_interval(node: &Node) -> Duration {
+    let heartbeat_s = node.settings.cluster.workers.report_s;
+    Duration::from_secs_f64((heartbeat_s / 3.0).clamp(0.1, 0.5))
+}
+
 impl Dispatcher {
     /// Runs the scheduler's periodic checks, probes and placement.
     fn tick(&mut self) {
         self.ticks += 1;
         let now = self.node.now();
+        self.record_loop_delay(now);
         if let Some(scheduler) = self.node.scheduler.borrow_mut().as_mut() {
             scheduler.tick(now, self.node.leadership.borrow().confirmed_at());
             scheduler.probe_unfenced(now, self.node.workers.max_concurrent_calls / 2);
@@ -123,6 +136,21 @@
         send_due_calls(&self.node);
     }
 
+    /// Records by how much this tick is late, and logs a long delay with the largest amounts of
+    /// work in one step.
+    fn record_loop_delay(&self, now: f64) {
+        let interval_s = tick_interval(&self.node).as_secs_f64();
+        let mut loop_delay = self.node.loop_delay.get();
+        let delay_s = loop_delay.record_tick(now, interval_s);
+        self.node.loop_delay.set(loop_delay);
+        if delay_s < LOGGED_LOOP_DELAY_S {
+            return;
+        }
+        let scheduler = self.node.scheduler.borrow();
+        let work = scheduler.as_ref().map(|scheduler| scheduler.work);
+        tracing::warn!(delay_s, ?work, "event loop was delayed");
+    }
+
     fn log_status_and_collect_garbage(&self, scheduler: &mut Scheduler) {
         if self.ticks.is_multiple_of(UNFENCED_LOG_TICKS) {
             if let Some(missing) = scheduler.machines_blocking_placement() {
@@ -154,10 +182,6 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
-        // A third of a heartbeat interval, but between 0.1 and 0.5 s. Work that becomes due at a
-        // certain time, such as probes and lease expiry, then waits only for a short time.
-        let heartbeat_s = self.node.settings.cluster.workers.report_s;
-        let interval = Duration::from_secs_f64((heartbeat_s / 3.0).clamp(0.1, 0.5));
-        ctx.run_interval(interval, |this, _| this.tick());
+        ctx.run_interval(tick_interval(&self.node), |this, _| this.tick());
     }
 }
--- a/src/coordination/agents/reconciliation.rs
+++ b/src/coordination/agents/reconciliation.rs
@@ -198,6 +198,7 @@
         now: f64,
         evidence: &mut EvidenceSummary,
     ) {
+        self.work.record_report(report.tasks.len());
         let mut unknown_attempts = 0;
         for entry in &report.tasks {
             let Some(shown) = self.shown_task(entry) else {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -9,6 +9,7 @@
 //! - [`jobs`]: look-ups and completions of jobs, and the watch of live jobs.
 //! - [`fleet`]: scale-out, scale-in, drains, rollouts, and the machine record.
 //! - [`node`]: the state that all parts of one controller share.
+//! - [`loop_delay`]: how long the event loop was delayed.
 //! - [`readiness`]: whether the load balancer should send users to this controller.
 //! - [`recent`]: a bounded map that evicts its oldest entry.
 
@@ -16,6 +17,7 @@
 pub mod fleet;
 pub mod jobs;
 pub mod leadership;
+pub mod loop_delay;
 pub mod node;
 pub mod readiness;
 pub mod recent;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -9,6 +9,7 @@
 use crate::coordination::leadership::cancellation_horizon::staleness_bound_s;
 use crate::coordination::leadership::confirmed_cancellations::ConfirmedCancellations;
 use crate::coordination::leadership::state::{Leadership, LeadershipConfig};
+use crate::coordination::loop_delay::LoopDelay;
 use crate::coordination::readiness::Readiness;
 use crate::coordination::scheduler::state::Scheduler;
 use crate::protocol::job::JobState;
@@ -114,6 +115,8 @@
     pub scheduler: RefCell<Option<Scheduler>>,
     /// The chunks of the shard's machine record as they were last read or written.
     pub machine_record: RefCell<MachineRecord>,
+    /// How long the event loop was delayed since this process started.
+    pub loop_delay: Cell<LoopDelay>,
     /// Number of direct calls to workers in progress.
     pub direct_calls: Cell<usize>,
     /// Term and drain generation that were last applied to the scheduler.
@@ -190,6 +193,7 @@
             confirmed_cancellations: RefCell::default(),
             relayed_cancellations: RefCell::default(),
             machine_record: RefCell::default(),
+            loop_delay: Cell::default(),
             direct_calls: Cell::new(0),
             applied_drains: Cell::default(),
             recorded_drains: RefCell::default(),
--- a/src/coordination/scheduler/machines.rs
+++ b/src/coordination/scheduler/machines.rs
@@ -51,6 +51,7 @@
             return;
         };
         let kind = self.types.get(&machine.info.kind);
+        self.work.attempts_summed += machine.attempts.len() as u64;
         let free = kind.map_or(Resources::default(), |kind| machine.unoccupied(kind));
         let usable = kind.is_some() && machine.is_usable(self.now, silent_s);
         if usable {
--- a/src/coordination/scheduler/mod.rs
+++ b/src/coordination/scheduler/mod.rs
@@ -7,7 +7,7 @@
 //! - Data types: [`job`], [`machine`] with [`attempt`], [`message_id`] and [`delivery`],
 //!   [`resources`], [`capacity_index`], [`team_usage`], [`fair_share`], [`job_order`],
 //!   [`run_time_predictor`], [`fence`], [`active_drain`], `placement_pass`,
-//!   `preemption_cost`.
+//!   `preemption_cost`, [`work_counters`].
 //! - State: [`state`] with [`config`].
 //! - Operations on the state:
 //!   - the sets of jobs and machines: `jobs`, `machines`, `attempts`, `completions`, `terms`;
@@ -49,4 +49,5 @@
 pub mod team_usage;
 mod terms;
 pub mod views;
+pub mod work_counters;
 mod zone_constraint;
--- a/src/coordination/scheduler/placement.rs
+++ b/src/coordination/scheduler/placement.rs
@@ -89,7 +89,9 @@
         let mut pass = PlacementPass::new(self.team_usage.clone());
         let scope = PassScope::new(kind, std::mem::take(&mut self.capacity_changes));
         let order = std::mem::take(&mut self.job_order.jobs);
+        let summed_before = self.work.attempts_summed;
         self.place_in_order(&order, scope, &mut pass, now);
+        self.work.record_pass(pass.placements, summed_before);
         self.job_order.jobs = order;
     }
 
@@ -268,11 +270,13 @@
         if request.effort == Effort::Thorough {
             if let Some(machine) = self.preempt_for(request.name, &options.pools, pass, now) {
                 self.enqueue(&machine, task, QueueReason::Preemption, now);
+                pass.placements += 1;
                 return ControlFlow::Continue(());
             }
             if options.within_limit {
                 if let Some(machine) = self.sample_queues(&task, &options.pools, now) {
                     self.enqueue(&machine, task, QueueReason::ShortestQueue, now);
+                    pass.placements += 1;
                     return ControlFlow::Continue(());
                 }
             }
@@ -302,6 +306,7 @@
         );
         let team = self.team_index(&spec.team);
         pass.usage.add(team, spec, 1.0);
+        pass.placements += 1;
         self.start_attempt(machine, task, now);
         self.update_capacity(machine);
     }
--- a/src/coordination/scheduler/placement_pass.rs
+++ b/src/coordination/scheduler/placement_pass.rs
@@ -109,6 +109,8 @@
     /// Usage of teams, including the tasks started in this pass.
     pub usage: TeamUsage,
     infeasible: Vec<Infeasible>,
+    /// How many tasks this pass placed: started, queued, or queued after a preemption.
+    pub placements: usize,
     /// Whether exited attempts were already removed from `Scheduler::stopping_attempts` in this
     /// pass.
     pub stops_pruned: bool,
--- a/src/coordination/scheduler/state.rs
+++ b/src/coordination/scheduler/state.rs
@@ -19,6 +19,7 @@
 use crate::coordination::scheduler::placement_pass::CapacityChanges;
 use crate::coordination::scheduler::run_time_predictor::RunTimePredictor;
 use crate::coordination::scheduler::team_usage::TeamUsage;
+use crate::coordination::scheduler::work_counters::WorkCounters;
 use foldhash::fast::RandomState;
 use indexmap::IndexSet;
 use rand::rngs::SmallRng;
@@ -118,6 +119,8 @@
     pub predictor: RunTimePredictor,
     /// Machines that operators are draining or have drained (see `drains`).
     pub(crate) drains: ByName<ActiveDrain>,
+    /// The largest amounts of work in one step.
+    pub work: WorkCounters,
     /// Source of all random draws, seeded so that a run can be repeated.
     pub(crate) rng: SmallRng,
 }
@@ -158,6 +161,7 @@
             attempts_numbered: 0,
             predictor: RunTimePredictor::default(),
             drains: ByName::default(),
+            work: WorkCounters::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
