--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -114,10 +114,7 @@
     )?;
     for (what, amount) in [
         ("placements_per_pass", work.max_placements_per_pass as f64),
-        (
-            "attempts_summed_per_pass",
-            work.max_attempts_summed_per_pass as f64,
-        ),
+        ("examined_per_pass", work.max_examined_per_pass as f64),
         ("commands_per_message", work.max_commands_per_message as f64),
         ("attempts_per_report", work.max_attempts_per_report as f64),
     ] {
--- a/src/coordination/agents/commands.rs
+++ b/src/coordination/agents/commands.rs
@@ -3,19 +3,42 @@
 
 use crate::coordination::scheduler::job::{AttemptId, Name};
 use crate::coordination::scheduler::machine::{Attempt, Machine, MachineStatus, MessageId};
+use crate::coordination::scheduler::resources::MAX_ATTEMPTS_PER_MACHINE;
 use crate::coordination::scheduler::state::Scheduler;
 use crate::protocol::worker::{Cause, Command, DirectCommands, Phase};
 use crate::storage::records::TOKENS_PER_TERM;
 
+/// Maximum number of commands in one message, which keeps every message below 64 KiB. A machine gets
+/// no more attempts than this, but one that an earlier version of the controllers filled may have
+/// more. Later messages carry the other commands: each command has an effect that takes its attempt
+/// out of the next message.
+pub const MAX_COMMANDS_PER_MESSAGE: usize = MAX_ATTEMPTS_PER_MACHINE as usize;
+
 /// The commands in the answer to a heartbeat, by kind, and the answer's token.
 #[derive(Default)]
 struct AnswerCommands {
     forgets: Vec<AttemptId>,
-    stops: Vec<Command>,
+    stops: Vec<(AttemptId, f64)>,
     starts: Vec<AttemptId>,
+    /// Attempts to stop or start whose commands do not fit into the answer.
+    left_out: Vec<AttemptId>,
     token: u64,
 }
 
+impl AnswerCommands {
+    /// Leaves out the commands beyond `MAX_COMMANDS_PER_MESSAGE`: starts first, then stops, since
+    /// the other commands make room in the worker's next report.
+    fn limit_size(&mut self) {
+        self.forgets.truncate(MAX_COMMANDS_PER_MESSAGE);
+        let max_stops = MAX_COMMANDS_PER_MESSAGE - self.forgets.len();
+        let stops_kept = self.stops.len().min(max_stops);
+        let stops = self.stops.drain(stops_kept..);
+        self.left_out.extend(stops.map(|(key, _)| key));
+        let starts_kept = self.starts.len().min(max_stops - stops_kept);
+        self.left_out.extend(self.starts.drain(starts_kept..));
+    }
+}
+
 fn start_command(key: &AttemptId) -> Command {
     Command::Start {
         task: key.task.wire_name(),
@@ -56,9 +79,9 @@
     is_available.then_some(forget_token)
 }
 
-/// Records that the answer tells the machine to stop its unwanted attempts and to forget the
-/// exited attempts in `forgets`. A later message must show the effect.
-fn mark_commands_sent(machine: &mut Machine, forgets: &[AttemptId]) {
+/// Records that the answer tells the machine to stop its unwanted attempts and to forget exited
+/// ones, except for the commands that were left out. A later message must show the effect.
+fn mark_commands_sent(machine: &mut Machine, answer: &AnswerCommands) {
     for attempt in machine.attempts.values_mut() {
         if !attempt.call_in_flight {
             attempt.unsent = false;
@@ -67,11 +90,17 @@
         let stoppable = !matches!(attempt.phase, None | Some(Phase::Saving | Phase::Exited));
         attempt.end_command_sent = stoppable && attempt.stop_grace_s.is_some();
     }
-    for key in forgets {
+    for key in &answer.forgets {
         if let Some(attempt) = machine.attempts.get_mut(key) {
             attempt.end_command_sent = true;
         }
     }
+    for key in &answer.left_out {
+        if let Some(attempt) = machine.attempts.get_mut(key) {
+            attempt.unsent = true;
+            attempt.end_command_sent = false;
+        }
+    }
 }
 
 /// Takes the machine's unsent stops and starts, for a direct call with this token.
@@ -81,6 +110,9 @@
         if !attempt.unsent || attempt.has_exited() {
             continue;
         }
+        if commands.len() == MAX_COMMANDS_PER_MESSAGE {
+            break;
+        }
         attempt.unsent = false;
         if let Some(grace_s) = attempt.stop_grace_s {
             commands.push(stop_command(key, grace_s));
@@ -128,9 +160,10 @@
             // The term has no higher token left; `raise_overdue_tokens` requests a new term.
             self.machines_with_unresolved_starts.insert(name.clone());
         }
-        mark_commands_sent(machine, &answer.forgets);
+        mark_commands_sent(machine, &answer);
         let mut commands: Vec<Command> = answer.forgets.iter().map(forget_command).collect();
-        commands.extend(answer.stops);
+        let stops = answer.stops.iter();
+        commands.extend(stops.map(|(key, grace_s)| stop_command(key, *grace_s)));
         for key in answer.starts {
             commands.push(start_command(&key));
             if let Some(attempt) = machine.attempts.get_mut(&key) {
@@ -157,11 +190,12 @@
                     answer.forgets.push(key.clone());
                 }
             } else if let Some(grace_s) = attempt.stop_grace_s {
-                answer.stops.push(stop_command(key, grace_s));
+                answer.stops.push((key.clone(), grace_s));
             } else if attempt.phase.is_none() && !attempt.call_in_flight && machine.recorded {
                 answer.starts.push(key.clone());
             }
         }
+        answer.limit_size();
         answer
     }
 
--- a/src/coordination/agents/task_reconciliation.rs
+++ b/src/coordination/agents/task_reconciliation.rs
@@ -151,15 +151,19 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let placed_attempt = job.placed.get(&task.index).map(|(_, attempt)| *attempt);
+        let Some(zone) = self.machines.get(name).map(|machine| &machine.info.zone) else {
+            return;
+        };
+        let placed_attempt = job.placed.get(&task.index).map(|placed| placed.attempt);
         let placed_elsewhere = placed_attempt.is_some_and(|attempt| attempt != *number);
         if placed_attempt.is_none() {
             // A former leader started the task, so the attempt is adopted. An earlier report may
             // have shown the task already: a job can become known after its task did, and a task
             // of an unknown job stays on the machine while it is being stopped.
-            job.set_placed(task.index, name.clone(), *number);
+            job.set_placed(task.index, name.clone(), zone, *number);
             self.team_usage.add(job.team, &job.spec, 1.0);
-        } else if placed_elsewhere && job.add_extra_attempt(task.index, name.clone(), *number) {
+        } else if placed_elsewhere && job.add_extra_attempt(task.index, name.clone(), zone, *number)
+        {
             // One of the two reports is outdated, but we do not know which one. As long as either
             // attempt may be on its machine, the task must not start again. (If only the first
             // attempt counted and ended with its session, the task would start a third time
--- a/src/coordination/scheduler/attempts.rs
+++ b/src/coordination/scheduler/attempts.rs
@@ -20,7 +20,8 @@
             job.requeue(task.index);
             return;
         };
-        if job.set_placed(task.index, machine_name.clone(), number) {
+        let zone = &machine.info.zone;
+        if job.set_placed(task.index, machine_name.clone(), zone, number) {
             self.team_usage.add(job.team, &job.spec, 1.0);
         }
         job.note_start(now);
--- a/src/coordination/scheduler/capacity_index.rs
+++ b/src/coordination/scheduler/capacity_index.rs
@@ -19,6 +19,9 @@
 /// remembered, so each placement of a task with such requirements searches again.
 const MAX_EXHAUSTED_ENTRIES: usize = 64;
 
+/// Free CPUs of a machine on which no task may start, not even one that takes no CPUs.
+const NO_FREE_CPUS: f64 = -1.0;
+
 /// An entry in a pool's list of machines sorted by free CPUs.
 #[derive(Debug)]
 pub(crate) struct FreeCpus {
@@ -92,6 +95,21 @@
     pub has_queue_room: bool,
 }
 
+impl Availability {
+    /// The availability of a machine with this free capacity. A machine that may hold no further
+    /// attempt counts as having no free CPUs, so it is not drawn for any task.
+    pub fn new(free: &Resources, has_queue_room: bool) -> Availability {
+        Availability {
+            free_cpus: if free.attempts > 0 {
+                free.cpus
+            } else {
+                NO_FREE_CPUS
+            },
+            has_queue_room,
+        }
+    }
+}
+
 /// The position of a machine in the index.
 #[derive(Debug, Clone, Copy)]
 struct IndexEntry {
--- a/src/coordination/scheduler/job.rs
+++ b/src/coordination/scheduler/job.rs
@@ -105,12 +105,29 @@
     }
 }
 
+/// Where an attempt of a task is or may be.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placement {
+    /// The machine.
+    pub machine: Name,
+    /// The attempt's number.
+    pub attempt: u64,
+    /// Index of the machine's zone in `Job::zones`.
+    zone: usize,
+}
+
 /// An additional attempt of a task that is already placed.
 #[derive(Debug, PartialEq, Eq)]
 struct ExtraAttempt {
     task: u32,
-    machine: Name,
-    number: u64,
+    placement: Placement,
+}
+
+/// How many tasks of a job are placed in one zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct ZoneCount {
+    pub zone: String,
+    pub tasks: u32,
 }
 
 /// Conditions that decide whether a job is placed ahead of other jobs or may preempt them, as of
@@ -168,8 +185,11 @@
     started: bool,
     /// How many tasks were last reported as running, for display only.
     pub running: u32,
-    /// Machine and attempt number of each task that is or may be on a machine.
-    pub placed: BTreeMap<u32, (Name, u64)>,
+    /// Where each task is that is or may be on a machine.
+    pub placed: BTreeMap<u32, Placement>,
+    /// The zones in which a task of the job has been placed, with the number of tasks in `placed`
+    /// there now. Counted as tasks come and go, since a job may have 100,000 of them.
+    zones: Vec<ZoneCount>,
     /// Additional attempts of placed tasks. Heartbeats of different ages can list the same task
     /// on two machines. Only later heartbeats then show which of the two attempts has ended.
     extra_attempts: Vec<ExtraAttempt>,
@@ -235,6 +255,7 @@
             started: false,
             running: 0,
             placed: BTreeMap::new(),
+            zones: Vec::new(),
             extra_attempts: Vec::new(),
             queued: BTreeMap::new(),
             failed_on: Names::default(),
@@ -300,22 +321,59 @@
         self.merge_completed(saved);
     }
 
-    /// Records that this attempt of the task is or may be on the machine. Returns true if the
-    /// task was not placed before.
-    pub fn set_placed(&mut self, task: u32, machine: Name, attempt: u64) -> bool {
+    /// Index in `zones` of this zone.
+    fn zone_index(&mut self, zone: &str) -> usize {
+        let known = self.zones.iter().position(|count| count.zone == zone);
+        known.unwrap_or_else(|| {
+            self.zones.push(ZoneCount {
+                zone: zone.into(),
+                tasks: 0,
+            });
+            self.zones.len() - 1
+        })
+    }
+
+    /// Sets the placement of the task, and counts it in its zone. Returns true if the task was not
+    /// placed before.
+    fn insert_placement(&mut self, task: u32, placement: Placement) -> bool {
+        self.zones[placement.zone].tasks += 1;
+        let Some(previous) = self.placed.insert(task, placement) else {
+            return true;
+        };
+        self.zones[previous.zone].tasks -= 1;
+        false
+    }
+
+    /// Records that this attempt of the task is or may be on the machine in this zone. Returns true
+    /// if the task was not placed before.
+    pub fn set_placed(&mut self, task: u32, machine: Name, zone: &str, attempt: u64) -> bool {
         self.track(task);
         self.requeued.remove(&task);
-        self.placed.insert(task, (machine, attempt)).is_none()
+        let zone = self.zone_index(zone);
+        let placement = Placement {
+            machine,
+            attempt,
+            zone,
+        };
+        self.insert_placement(task, placement)
     }
 
-    /// Records that an additional attempt of a placed task is or may be on a machine.
+    /// Records that an additional attempt of a placed task is or may be on a machine in this zone.
     /// Returns true if this additional attempt was not recorded before.
-    pub fn add_extra_attempt(&mut self, task: u32, machine: Name, attempt: u64) -> bool {
-        let extra = ExtraAttempt {
-            task,
+    pub fn add_extra_attempt(
+        &mut self,
+        task: u32,
+        machine: Name,
+        zone: &str,
+        attempt: u64,
+    ) -> bool {
+        let zone = self.zone_index(zone);
+        let placement = Placement {
             machine,
-            number: attempt,
+            attempt,
+            zone,
         };
+        let extra = ExtraAttempt { task, placement };
         let is_new = !self.extra_attempts.contains(&extra);
         if is_new {
             self.extra_attempts.push(extra);
@@ -329,29 +387,36 @@
         let extra = self
             .extra_attempts
             .iter()
-            .position(|extra| extra.task == task && extra.number == attempt);
+            .position(|extra| extra.task == task && extra.placement.attempt == attempt);
         if let Some(position) = extra {
             self.extra_attempts.swap_remove(position);
             return true;
         }
         let placed = self.placed.get(&task);
-        if placed.is_none_or(|(_, number)| *number != attempt) {
+        let Some(placed) = placed.filter(|placed| placed.attempt == attempt) else {
             return false;
-        }
+        };
+        let zone = placed.zone;
         let other = self
             .extra_attempts
             .iter()
             .position(|extra| extra.task == task);
         if let Some(position) = other {
             let extra = self.extra_attempts.swap_remove(position);
-            self.placed.insert(task, (extra.machine, extra.number));
+            self.insert_placement(task, extra.placement);
         } else {
             self.placed.remove(&task);
+            self.zones[zone].tasks -= 1;
             self.requeue(task);
         }
         true
     }
 
+    /// The zones in which tasks of the job are placed.
+    pub(crate) fn placed_by_zone(&self) -> impl Iterator<Item = &ZoneCount> {
+        self.zones.iter().filter(|count| count.tasks > 0)
+    }
+
     /// How many attempts of the job's tasks are or may be on machines.
     pub fn attempts_placed(&self) -> usize {
         self.placed.len() + self.extra_attempts.len()
--- a/src/coordination/scheduler/jobs.rs
+++ b/src/coordination/scheduler/jobs.rs
@@ -1,7 +1,7 @@
 //! The set of jobs: adding jobs, finishing them, reconciling them with the state service,
 //! and removing those that are no longer needed.
 
-use crate::coordination::scheduler::job::{AttemptId, Job, Name, TaskCounts, TaskId};
+use crate::coordination::scheduler::job::{AttemptId, Job, Name, Placement, TaskCounts, TaskId};
 use crate::coordination::scheduler::state::Scheduler;
 use crate::storage::completed_tasks::CompletedTasks;
 use crate::storage::records::LiveJob;
@@ -58,7 +58,7 @@
         };
         job.finished = true;
         let queued: Vec<u32> = job.queued.keys().copied().collect();
-        let placed: Vec<(u32, (Name, u64))> = job
+        let placed: Vec<(u32, Placement)> = job
             .placed
             .iter()
             .map(|(index, placement)| (*index, placement.clone()))
@@ -69,12 +69,18 @@
                 index,
             });
         }
-        for (index, (machine, number)) in placed {
+        for (
+            index,
+            Placement {
+                machine, attempt, ..
+            },
+        ) in placed
+        {
             let task = TaskId {
                 index,
                 job: name.clone(),
             };
-            self.stop_attempt(&machine, &AttemptId::new(task, number), 0.0);
+            self.stop_attempt(&machine, &AttemptId::new(task, attempt), 0.0);
         }
         self.unsaved_jobs.swap_remove(&name);
         self.job_order.is_stale = true;
--- a/src/coordination/scheduler/machine.rs
+++ b/src/coordination/scheduler/machine.rs
@@ -206,11 +206,14 @@
     }
 
     /// Capacity that is not occupied by live attempts, if the machine is of the type `kind`.
+    /// Exited attempts occupy nothing but a place in the worker's report.
     pub(crate) fn unoccupied(&self, kind: &MachineType) -> Resources {
         let mut unoccupied = Resources::of_type(kind);
+        let most_attempts = unoccupied.attempts;
         for (_, attempt) in self.live_attempts() {
             unoccupied.subtract(&attempt.resources);
         }
+        unoccupied.attempts = most_attempts - self.attempts.len() as i32;
         unoccupied
     }
 
--- a/src/coordination/scheduler/machines.rs
+++ b/src/coordination/scheduler/machines.rs
@@ -51,20 +51,18 @@
             return;
         };
         let kind = self.types.get(&machine.info.kind);
-        self.work.attempts_summed += machine.attempts.len() as u64;
+        self.work.examined += machine.attempts.len() as u64;
         let free = kind.map_or(Resources::default(), |kind| machine.unoccupied(kind));
         let usable = kind.is_some() && machine.is_usable(self.now, silent_s);
         if usable {
-            let availability = Availability {
-                free_cpus: free.cpus,
-                has_queue_room: machine.queue.len() < queue_depth,
-            };
+            let has_queue_room = machine.queue.len() < queue_depth;
+            let availability = Availability::new(&free, has_queue_room);
             self.capacity_index
                 .insert_or_move(key, &machine.info, availability);
         } else {
             self.capacity_index.remove(key);
         }
-        let has_grown = !machine.indexed || !machine.free_capacity.fits(&free);
+        let has_grown = !machine.indexed || free.admits_more_than(&machine.free_capacity);
         if usable && has_grown {
             self.capacity_index.capacity_grew(&free);
             self.capacity_changes.grown_free_capacity.push(free);
@@ -76,6 +74,22 @@
         machine.indexed = usable;
     }
 
+    /// Subtracts the resources of an attempt that was just added to an indexed machine. Unlike
+    /// `update_capacity`, this takes the same time however many attempts the machine has.
+    pub(crate) fn occupy_capacity(&mut self, name: &str, resources: &Resources) {
+        let queue_depth = self.config.policy.queue_depth;
+        let Some((_, key, machine)) = self.machines.get_full_mut(name) else {
+            return;
+        };
+        machine.free_capacity.subtract(resources);
+        if machine.indexed {
+            let has_queue_room = machine.queue.len() < queue_depth;
+            let availability = Availability::new(&machine.free_capacity, has_queue_room);
+            self.capacity_index
+                .insert_or_move(key, &machine.info, availability);
+        }
+    }
+
     /// Removes all attempts and queued tasks of a machine that was proven empty or no longer
     /// exists. Tasks without another attempt wait again.
     pub(crate) fn clear_machine(&mut self, name: &str) {
--- a/src/coordination/scheduler/mod.rs
+++ b/src/coordination/scheduler/mod.rs
@@ -34,7 +34,7 @@
 mod order_refresh;
 pub mod overview;
 pub mod placement;
-mod placement_pass;
+pub mod placement_pass;
 mod precedence;
 mod prediction;
 pub mod preemption;
--- a/src/coordination/scheduler/placement.rs
+++ b/src/coordination/scheduler/placement.rs
@@ -11,7 +11,8 @@
 //! similarities and differences.
 //!
 //! A pass runs whenever jobs or capacity may have changed, so it must not examine every machine or
-//! every task. Samples are drawn from the index of machines by free capacity. Jobs that cannot
+//! every task. A pass therefore ends once it has placed a bounded number of tasks, and the next one
+//! continues it (see `placement_pass`). Samples are drawn from the index of machines by free capacity. Jobs that cannot
 //! be placed are detected by comparing their requirements with cached results.
 
 use crate::coordination::scheduler::capacity_index::may_use;
@@ -81,26 +82,41 @@
             return;
         }
         self.placement_due = false;
+        let resumes = std::mem::take(&mut self.pass_unfinished);
+        let kind = if resumes { PassKind::Full } else { kind };
         self.expire_queued(now);
         self.refresh_job_order(now);
         if kind == PassKind::Full {
             self.team_usage = self.count_usage();
         }
         let mut pass = PlacementPass::new(self.team_usage.clone());
-        let scope = PassScope::new(kind, std::mem::take(&mut self.capacity_changes));
+        let mut scope = PassScope::new(kind, std::mem::take(&mut self.capacity_changes));
         let order = std::mem::take(&mut self.job_order.jobs);
-        let summed_before = self.work.attempts_summed;
-        self.place_in_order(&order, scope, &mut pass, now);
-        self.work.record_pass(pass.placements, summed_before);
+        let examined_before = self.work.examined;
+        self.place_in_order(&order, &mut scope, &mut pass, now);
         self.job_order.jobs = order;
+        let examined = self.work.examined - examined_before;
+        self.work.record_pass(pass.placements, examined);
+        if pass.is_at_limit() {
+            self.placement_due = true;
+            self.pass_unfinished = true;
+            let freed_machines = scope.into_freed_machines();
+            self.capacity_changes.freed_machines.extend(freed_machines);
+        }
+    }
+
+    /// Whether the last pass ended at its limit, so that the next one continues it.
+    pub fn is_pass_unfinished(&self) -> bool {
+        self.pass_unfinished
     }
 
     /// Places the jobs rank by rank. Within a rank, tasks with reserved capacity start first
-    /// (capacity is reserved for a task if other attempts were preempted for it).
+    /// (capacity is reserved for a task if other attempts were preempted for it). Ends early if the
+    /// pass reaches its limit.
     fn place_in_order(
         &mut self,
         order: &[OrderedJob],
-        mut scope: PassScope,
+        scope: &mut PassScope,
         pass: &mut PlacementPass,
         now: f64,
     ) {
@@ -108,6 +124,9 @@
             let rank = jobs[0].precedence.rank;
             self.start_reserved(rank, scope.freed_machines(), pass, now);
             for entry in jobs {
+                if pass.is_at_limit() {
+                    return;
+                }
                 if let Some(effort) = scope.effort_for(entry) {
                     self.place_entry(entry, effort, pass, now);
                 }
@@ -133,8 +152,8 @@
         }
     }
 
-    /// Places waiting tasks of one job until the limit is reached, no task is left, or the next
-    /// task cannot be placed.
+    /// Places waiting tasks of one job until `limit` or the limit of the pass is reached, no task is
+    /// left, or the next task cannot be placed.
     fn place_job(
         &mut self,
         name: &Name,
@@ -163,11 +182,13 @@
             limit,
             effort,
         };
-        while self.wants_another_task(name) {
+        while !pass.is_at_limit() && self.wants_another_task(name) {
+            let examined_before = self.work.examined;
             let outcome = self.place_next_task(&request, pass, now);
             if outcome.is_break() || limit == TaskLimit::First {
                 return;
             }
+            pass.examined += self.work.examined - examined_before;
         }
     }
 
@@ -308,7 +329,7 @@
         pass.usage.add(team, spec, 1.0);
         pass.placements += 1;
         self.start_attempt(machine, task, now);
-        self.update_capacity(machine);
+        self.occupy_capacity(machine, &Resources::of_task(spec));
     }
 
     /// Indexes of the pools in which a task of the job may start now, regardless of free
--- a/src/coordination/scheduler/placement_pass.rs
+++ b/src/coordination/scheduler/placement_pass.rs
@@ -1,9 +1,13 @@
 //! The state of one placement pass: the jobs that the pass covers, the effort made to place each
 //! of them, and the results that the pass caches.
+//!
+//! The process has one thread, so a pass delays all answers. A pass over a job of 100,000 tasks must
+//! not take longer than one over a small job: it ends at a limit, and the next heartbeat or tick
+//! continues with a full pass. Jobs keep their order, since a pass always begins with the first.
 
 use crate::coordination::scheduler::job::Names;
 use crate::coordination::scheduler::job_order::OrderedJob;
-use crate::coordination::scheduler::resources::Resources;
+use crate::coordination::scheduler::resources::{Resources, MAX_ATTEMPTS_PER_MACHINE};
 use crate::coordination::scheduler::team_usage::{TeamUsage, Usage};
 use crate::protocol::job::Urgency;
 use std::collections::HashMap;
@@ -14,6 +18,15 @@
 /// full pass, all other waiting jobs (there may be hundreds) are placed on free capacity only.
 const MAX_THOROUGH_RETRIES: usize = 8;
 
+/// Maximum number of tasks that one pass places. Each heartbeat triggers a pass, and no machine may
+/// hold more attempts, so the whole fleet can be filled within one heartbeat interval.
+pub const MAX_PLACEMENTS_PER_PASS: usize = MAX_ATTEMPTS_PER_MACHINE as usize;
+
+/// A pass ends when the searches for the tasks that it placed have examined this number of machines
+/// and attempts. Searches that fail do not count: each job has at most one in a pass, and a pass
+/// that ended with them would never reach the jobs behind.
+pub const MAX_EXAMINED_PER_PASS: u64 = 500_000;
+
 /// Which jobs a pass tries to place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PassKind {
@@ -65,6 +78,11 @@
         &self.changes.freed_machines
     }
 
+    /// Ends the pass. Returns the machines on which a queued task may start now.
+    pub fn into_freed_machines(self) -> Names {
+        self.changes.freed_machines
+    }
+
     /// The effort to place this job with; `None` if the pass skips the job, because it has no new
     /// tasks and its tasks fit into none of the capacity that became free.
     pub fn effort_for(&mut self, job: &OrderedJob) -> Option<Effort> {
@@ -111,6 +129,8 @@
     infeasible: Vec<Infeasible>,
     /// How many tasks this pass placed: started, queued, or queued after a preemption.
     pub placements: usize,
+    /// How many machines and attempts were examined for the tasks that this pass placed.
+    pub examined: u64,
     /// Whether exited attempts were already removed from `Scheduler::stopping_attempts` in this
     /// pass.
     pub stops_pruned: bool,
@@ -130,6 +150,11 @@
         }
     }
 
+    /// Whether the pass has placed as many tasks, or examined as much for them, as one pass may.
+    pub fn is_at_limit(&self) -> bool {
+        self.placements >= MAX_PLACEMENTS_PER_PASS || self.examined >= MAX_EXAMINED_PER_PASS
+    }
+
     /// Remembers for the rest of the pass that preemption cannot free enough capacity for a task
     /// with these requirements and resources.
     pub fn set_infeasible(&mut self, requirements: TaskRequirements, resources: Resources) {
--- a/src/coordination/scheduler/preemption.rs
+++ b/src/coordination/scheduler/preemption.rs
@@ -161,8 +161,9 @@
             pass.set_infeasible(requirements, need);
             return None;
         };
-        // The stops, and the capacity that the caller reserves, make the cached value stale.
-        pass.usage_being_freed = None;
+        if let Some(being_freed) = &mut pass.usage_being_freed {
+            self.add_planned_usage(being_freed, &plan, team, &spec);
+        }
         Some(self.execute_plan(plan, name))
     }
 
@@ -256,6 +257,27 @@
         sums
     }
 
+    /// Adds what the stops of the plan will free, and subtracts the usage that the caller reserves
+    /// for a task of the team.
+    fn add_planned_usage(
+        &self,
+        being_freed: &mut HashMap<usize, Usage>,
+        plan: &PreemptionPlan,
+        team: Option<usize>,
+        spec: &JobSpec,
+    ) {
+        let victims = plan.stops.iter().map(|stop| &stop.attempt.task.job);
+        for victim in victims.filter_map(|name| self.jobs.get(name)) {
+            if let Some(victim_team) = victim.team {
+                let freed = being_freed.entry(victim_team).or_default();
+                freed.add_tasks(&victim.spec, 1.0);
+            }
+        }
+        if let Some(team) = team {
+            being_freed.entry(team).or_default().add_tasks(spec, -1.0);
+        }
+    }
+
     /// The cheapest plan among the examined machines, whose number is bounded; `None` if none of
     /// them has a plan.
     fn cheapest_preemption(
@@ -284,6 +306,12 @@
         if !search.has_zero_cost_plan() {
             self.search_victims(&request, start_offset, &mut search);
         }
+        let examined = search.examined.iter();
+        let attempts: usize = examined
+            .filter_map(|name| self.machines.get(name))
+            .map(|machine| machine.attempts.len())
+            .sum();
+        self.work.examined += attempts as u64;
         search.best
     }
 
@@ -313,7 +341,8 @@
             let first_task = (start_offset % victim.spec.tasks.max(1) as usize) as u32;
             let placed = victim.placed.range(first_task..);
             let placed = placed.chain(victim.placed.range(..first_task));
-            for (_, (machine, _)) in placed.take(MAX_MACHINES_PER_VICTIM) {
+            for (_, placement) in placed.take(MAX_MACHINES_PER_VICTIM) {
+                let machine = &placement.machine;
                 search.examine(machine, || self.plan_on_machine(machine, request));
             }
         }
--- a/src/coordination/scheduler/queue.rs
+++ b/src/coordination/scheduler/queue.rs
@@ -152,7 +152,7 @@
         let movable = queued.filter(|(index, machine)| !self.is_reserved(name, **index, machine));
         let movable: Vec<u32> = movable.map(|(index, _)| *index).collect();
         for index in movable {
-            if !pass.usage.of(team).admits(self.team(team), spec, 1.0) {
+            if pass.is_at_limit() || !pass.usage.of(team).admits(self.team(team), spec, 1.0) {
                 return;
             }
             let task = TaskId {
@@ -199,6 +199,9 @@
             if machine.queue.is_empty() || !self.is_usable(machine, now) {
                 continue;
             }
+            if pass.is_at_limit() {
+                return;
+            }
             for queued in reserved_in_order(machine, rank) {
                 self.start_reserved_task(name, queued.task, pass, now);
             }
@@ -227,6 +230,8 @@
         {
             self.dequeue(&task);
             self.start_task(machine_name, task, &spec, pass, now);
+            // The task's capacity is in use now and no longer reserved.
+            pass.usage_being_freed = None;
         }
     }
 
--- a/src/coordination/scheduler/resources.rs
+++ b/src/coordination/scheduler/resources.rs
@@ -11,6 +11,12 @@
 /// Tolerance when comparing amounts, since sums of decimal fractions have rounding errors.
 pub(crate) const ROUNDING_TOLERANCE: f64 = 1e-6;
 
+/// Maximum number of attempts on a machine, including exited ones that the worker has not been
+/// told to forget. A worker's report names all of them, an answer to it has at most one command
+/// for each, and neither may exceed 64 KiB. An entry of a report takes up to 121 bytes, a command
+/// up to 123.
+pub const MAX_ATTEMPTS_PER_MACHINE: i32 = 512;
+
 /// An amount of each resource that placement takes into account.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Resources {
@@ -20,6 +26,8 @@
     pub gpus: f64,
     /// Memory in gigabytes.
     pub memory_gb: f64,
+    /// Number of attempts; negative if a machine has more than `MAX_ATTEMPTS_PER_MACHINE`.
+    pub attempts: i32,
 }
 
 impl Resources {
@@ -29,6 +37,7 @@
             cpus: kind.cpus,
             gpus: kind.gpus,
             memory_gb: kind.memory_gb,
+            attempts: MAX_ATTEMPTS_PER_MACHINE,
         }
     }
 
@@ -38,6 +47,7 @@
             cpus: spec.cpus,
             gpus: spec.gpus,
             memory_gb: spec.memory_gb,
+            attempts: 1,
         }
     }
 
@@ -46,6 +56,16 @@
         need.cpus <= self.cpus + ROUNDING_TOLERANCE
             && need.gpus <= self.gpus + ROUNDING_TOLERANCE
             && need.memory_gb <= self.memory_gb + ROUNDING_TOLERANCE
+            && need.attempts <= self.attempts
+    }
+
+    /// Whether some task may fit into this amount that does not fit into `other`. Each task takes
+    /// one attempt, so it makes no difference by how much more than one the attempts exceed.
+    pub fn admits_more_than(&self, other: &Resources) -> bool {
+        self.cpus > other.cpus + ROUNDING_TOLERANCE
+            || self.gpus > other.gpus + ROUNDING_TOLERANCE
+            || self.memory_gb > other.memory_gb + ROUNDING_TOLERANCE
+            || self.attempts > 0 && other.attempts <= 0
     }
 
     /// Subtracts `other` from this amount; the result may be negative.
@@ -53,6 +73,7 @@
         self.cpus -= other.cpus;
         self.gpus -= other.gpus;
         self.memory_gb -= other.memory_gb;
+        self.attempts -= other.attempts;
     }
 
     /// Adds `other` to this amount.
@@ -60,5 +81,6 @@
         self.cpus += other.cpus;
         self.gpus += other.gpus;
         self.memory_gb += other.memory_gb;
+        self.attempts += other.attempts;
     }
 }
--- a/src/coordination/scheduler/sampling.rs
+++ b/src/coordination/scheduler/sampling.rs
@@ -159,7 +159,9 @@
             return picks;
         }
         let failed_on = self.machines_to_avoid(task, pools);
+        let mut examined = 0;
         let mut examine = |candidate: usize, picks: &[Name]| {
+            examined += 1;
             accept(self, candidate).filter(|name| {
                 !picks.contains(name) && failed_on.is_none_or(|failed| !failed.contains(name))
             })
@@ -182,6 +184,7 @@
             }
         }
         self.rng = rng;
+        self.work.examined += examined;
         picks
     }
 
--- a/src/coordination/scheduler/state.rs
+++ b/src/coordination/scheduler/state.rs
@@ -90,6 +90,8 @@
     pub(crate) image_holders: HashMap<String, Vec<Name>, RandomState>,
     /// Capacity that became free since the last placement pass.
     pub(crate) capacity_changes: CapacityChanges,
+    /// The last placement pass ended at its limit.
+    pub(crate) pass_unfinished: bool,
     /// Resource usage of teams, updated whenever a task is placed or released, and recomputed
     /// at each full placement pass.
     pub(crate) team_usage: TeamUsage,
@@ -148,6 +150,7 @@
             machines_with_queue: Names::default(),
             image_holders: HashMap::default(),
             capacity_changes: CapacityChanges::default(),
+            pass_unfinished: false,
             team_usage: TeamUsage::default(),
             unfenced: Names::default(),
             unfenced_count_at_last_prune: 0,
--- a/src/coordination/scheduler/work_counters.rs
+++ b/src/coordination/scheduler/work_counters.rs
@@ -10,11 +10,11 @@
     /// Largest number of tasks that one placement pass placed: started, queued, or queued after a
     /// preemption.
     pub max_placements_per_pass: usize,
-    /// Number of attempts whose resources were added up to determine the free capacity of a
-    /// machine.
-    pub attempts_summed: u64,
-    /// Largest number of attempts whose resources were added up within one placement pass.
-    pub max_attempts_summed_per_pass: u64,
+    /// Number of machines and attempts that were examined, by placement and when the free capacity
+    /// of a machine was determined anew.
+    pub examined: u64,
+    /// Largest number of machines and attempts that one placement pass examined.
+    pub max_examined_per_pass: u64,
     /// Largest number of commands in one message to a worker.
     pub max_commands_per_message: usize,
     /// Largest number of attempts in one report of a worker.
@@ -32,12 +32,11 @@
         self.max_attempts_per_report = self.max_attempts_per_report.max(attempts);
     }
 
-    /// Records a placement pass that placed this number of tasks; `summed_before` is the value of
-    /// `attempts_summed` at the start of the pass.
-    pub(crate) fn record_pass(&mut self, placements: usize, summed_before: u64) {
+    /// Records a placement pass that placed this number of tasks, and examined this number of
+    /// machines and attempts.
+    pub(crate) fn record_pass(&mut self, placements: usize, examined: u64) {
         self.passes += 1;
         self.max_placements_per_pass = self.max_placements_per_pass.max(placements);
-        let summed = self.attempts_summed - summed_before;
-        self.max_attempts_summed_per_pass = self.max_attempts_summed_per_pass.max(summed);
+        self.max_examined_per_pass = self.max_examined_per_pass.max(examined);
     }
 }
--- a/src/coordination/scheduler/zone_constraint.rs
+++ b/src/coordination/scheduler/zone_constraint.rs
@@ -2,18 +2,11 @@
 //! of the job's placed tasks. The tasks of a job may have to be in one zone, or spread over
 //! several.
 
-use crate::coordination::scheduler::job::Job;
+use crate::coordination::scheduler::job::{Job, ZoneCount};
 use crate::coordination::scheduler::resources::Resources;
 use crate::coordination::scheduler::state::Scheduler;
 use crate::protocol::job::JobSpec;
 
-/// The count of a job's placed tasks in one zone.
-#[derive(Debug, Clone)]
-struct ZoneCount {
-    zone: String,
-    tasks: u32,
-}
-
 /// The zones in which another task of a job may start. The default allows any.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct ZoneConstraint {
@@ -54,7 +47,7 @@
         if !spec.one_zone && !spec.spread {
             return ZoneConstraint::default();
         }
-        let placed = self.placed_by_zone(job);
+        let placed: Vec<ZoneCount> = job.placed_by_zone().cloned().collect();
         let only_zone = if !spec.one_zone {
             None
         } else if let Some(first) = placed.first() {
@@ -69,24 +62,6 @@
         }
     }
 
-    /// Counts the job's placed tasks by zone, in the order of the first placed task in each
-    /// zone.
-    fn placed_by_zone(&self, job: &Job) -> Vec<ZoneCount> {
-        let mut counts: Vec<ZoneCount> = Vec::new();
-        let machines = job.placed.values();
-        for machine in machines.filter_map(|(name, _)| self.machines.get(name)) {
-            let zone = &machine.info.zone;
-            match counts.iter_mut().find(|count| count.zone == *zone) {
-                Some(count) => count.tasks += 1,
-                None => counts.push(ZoneCount {
-                    zone: zone.clone(),
-                    tasks: 1,
-                }),
-            }
-        }
-        counts
-    }
-
     /// The zone with the largest sum of free CPUs on machines that a task of the job fits on;
     /// `None` if no zone has a machine that the job may use. Machines without enough free memory
     /// must not count: otherwise a zone without room for the task could be chosen again and
--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -86,7 +86,8 @@
 
 impl Placement {
     fn of(scheduler: &Scheduler) -> Placement {
-        let (host, attempt) = scheduler.jobs["run-1"].placed[&0].clone();
+        let placement = scheduler.jobs["run-1"].placed[&0].clone();
+        let (host, attempt) = (placement.machine, placement.attempt);
         Placement {
             host: host.to_string(),
             other_host: if &*host == "m-0" { "m-1" } else { "m-0" },
@@ -355,7 +356,7 @@
         scheduler.tick(now, now);
         scheduler.place_all(now);
         assert_eq!(
-            *scheduler.jobs["run-1"].placed[&0].0, *host,
+            *scheduler.jobs["run-1"].placed[&0].machine, *host,
             "the task was started elsewhere at {now} s"
         );
         assert!(scheduler.proven_drains(0, 9).is_empty());
@@ -363,7 +364,7 @@
     scheduler.handle_heartbeat(&report(other_host, 1, 20, 5, &[]), 12.0);
     scheduler.tick(12.0, 12.0);
     scheduler.place_all(12.0);
-    assert_eq!(*scheduler.jobs["run-1"].placed[&0].0, *other_host);
+    assert_eq!(*scheduler.jobs["run-1"].placed[&0].machine, *other_host);
     assert_eq!(
         scheduler.proven_drains(0, 9)[0]
             .0
@@ -499,11 +500,11 @@
     noticed.notice_s = Some(30.0);
     let reply = commands(scheduler.handle_heartbeat(&noticed, 2.0));
     assert!(matches!(reply[..], [Command::Stop { .. }]), "{reply:?}");
-    assert_eq!(*scheduler.jobs["run-1"].placed[&0].0, *host);
+    assert_eq!(*scheduler.jobs["run-1"].placed[&0].machine, *host);
     let stopped = placement.reported_tasks(Phase::Exited, Some(Cause::Stopped));
     scheduler.handle_heartbeat(&report(host, 1, 4, 5, &stopped), 2.5);
     scheduler.place_all(2.6);
-    assert_eq!(*scheduler.jobs["run-1"].placed[&0].0, *other_host);
+    assert_eq!(*scheduler.jobs["run-1"].placed[&0].machine, *other_host);
     // The cloud removes the draining machine: the state of the drain is then "gone".
     scheduler.remove_machine(host);
     assert_eq!(scheduler.drain_rows(3.0)[0].state, DrainState::Gone);
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -776,7 +776,7 @@
     heartbeat(&mut scheduler, &report("m2", 1, 2, 5, &exited), 3.0);
     scheduler.place_all(3.0);
     let placed = scheduler.jobs.get("run-1").and_then(|j| j.placed.get(&0));
-    assert!(placed.is_some_and(|(_, attempt)| *attempt > 8));
+    assert!(placed.is_some_and(|placed| placed.attempt > 8));
 }
 
 /// Guards against losing saved completions: a write whose reply was lost may be executed after a
@@ -852,6 +852,6 @@
     add(&mut scheduler, job, 2.0);
     scheduler.place_all(2.5);
     let placed = scheduler.jobs["run-3"].placed.values();
-    let machines: Vec<&str> = placed.map(|(machine, _)| &**machine).collect();
+    let machines: Vec<&str> = placed.map(|placed| &*placed.machine).collect();
     assert_eq!(machines, ["m2", "m2"]);
 }
