Log lines tell why nothing is rented while tasks wait

Change: a debug line 'tasks wait' in each round with the CPUs used, waiting and provisioned and the number of rentals, and an info line where the cloud has no machine of an offer.

--- a/src/coordination/fleet/manager.rs
+++ b/src/coordination/fleet/manager.rs
@@ -188,16 +188,30 @@
     state.prune_booting(scheduler, now);
     let partitioned_zones = scheduler.partitioned_zones(now);
     let demand = Demand::of(scheduler, state.booting(), &partitioned_zones, now);
-    scale_out::plan(&demand, &scheduler.types, node.policy.headroom, |offer| {
+    let plan = scale_out::plan(&demand, &scheduler.types, node.policy.headroom, |offer| {
         state.is_available(offer, now) && !partitioned_zones.contains(&offer.zone)
-    })
+    });
+    if !demand.waiting.is_empty() {
+        tracing::debug!(
+            used_cpus = demand.used_cpus,
+            waiting_cpus = demand.waiting_cpus(),
+            provisioned_cpus = demand.provisioned_cpus,
+            booting = state.booting().count(),
+            rentals = plan.len(),
+            "tasks wait"
+        );
+    }
+    plan
 }
 
 /// Sends a rental request. Returns the names of the machines that the cloud provided.
 async fn rent(node: &Node, rental: &LaunchRequest) -> Vec<String> {
     match node.cloud.scale_out(rental).await {
         Ok(rented) => rented.machines,
-        Err(ServiceError::Refused) => Vec::new(),
+        Err(ServiceError::Refused) => {
+            tracing::info!(kind = %rental.kind, zone = %rental.zone, spot = rental.spot, asked = rental.count, "the cloud has no such machines");
+            Vec::new()
+        }
         Err(error) => {
             // The cloud may still execute the request later. Machines that it then provides are
             // counted once they appear in the cloud's list, and used once they send heartbeats.
--- a/src/coordination/fleet/scale_out.rs
+++ b/src/coordination/fleet/scale_out.rs
@@ -104,16 +104,17 @@
         }
     }
 
+    /// CPUs that the waiting tasks require.
+    pub fn waiting_cpus(&self) -> f64 {
+        let required = |job: &WaitingJob| job.spec.cpus * f64::from(job.tasks);
+        self.waiting.iter().map(required).sum()
+    }
+
     /// Number of CPUs that must be added so that the fleet can run all placed and waiting tasks and
     /// has a reserve of `headroom`, a fraction of the CPUs of these tasks. Negative if the fleet
     /// has more CPUs than needed.
     fn missing_cpus(&self, headroom: f64) -> f64 {
-        let waiting_cpus: f64 = self
-            .waiting
-            .iter()
-            .map(|job| job.spec.cpus * f64::from(job.tasks))
-            .sum();
-        (self.used_cpus + waiting_cpus) * (1.0 + headroom) - self.provisioned_cpus
+        (self.used_cpus + self.waiting_cpus()) * (1.0 + headroom) - self.provisioned_cpus
     }
 
     /// Whether any waiting task could run on a machine of the offer. If no task waits, returns
