A waiting task that fits on no machine gets one, however idle other machines are

Cause: the decision to rent compared one sum, the CPUs of all placed and waiting tasks, with the CPUs of all machines. CPUs in another zone, of another type or without memory counted as provided. Idle machines were kept while any task waited, so the state lasted.

Change: the waiting tasks are placed on a copy of the free capacity with the machines that boot; what is left over is rented for, of the offers that those tasks may use: in the next round if no such machine is up or booting, otherwise once the shortfall has lasted for the boot time of the machine. An idle machine is kept only for a waiting task that may use it.

--- a/src/coordination/fleet/fleet_state.rs
+++ b/src/coordination/fleet/fleet_state.rs
@@ -1,6 +1,7 @@
 //! The state that the fleet manager keeps between rounds while this controller leads.
 
 use super::scale_out::{boot_s, Offer};
+use super::shortfall::ShortfallAges;
 use crate::coordination::scheduler::state::Scheduler;
 use crate::protocol::cloud::{ListedMachine, ListedState};
 use crate::storage::records::MachineInfo;
@@ -47,6 +48,8 @@
     listed_at: f64,
     /// The cloud's list of machines.
     cloud_list: Vec<ListedMachine>,
+    /// Since when jobs have had waiting tasks that fit on no machine.
+    pub(super) shortfall_ages: ShortfallAges,
 }
 
 impl FleetState {
@@ -129,7 +132,7 @@
     }
 
     /// Rented machines that have not sent a heartbeat yet.
-    pub(super) fn booting(&self) -> impl Iterator<Item = &MachineInfo> {
+    pub(super) fn booting(&self) -> impl Iterator<Item = &MachineInfo> + Clone {
         self.booting.values().map(|machine| &machine.info)
     }
 
--- a/src/coordination/fleet/manager.rs
+++ b/src/coordination/fleet/manager.rs
@@ -187,7 +187,8 @@
     };
     state.prune_booting(scheduler, now);
     let partitioned_zones = scheduler.partitioned_zones(now);
-    let demand = Demand::of(scheduler, state.booting(), &partitioned_zones, now);
+    let mut demand = Demand::of(scheduler, state.booting(), &partitioned_zones, now);
+    state.shortfall_ages.update(&mut demand.shortfalls, now);
     let plan = scale_out::plan(&demand, &scheduler.types, node.policy.headroom, |offer| {
         state.is_available(offer, now) && !partitioned_zones.contains(&offer.zone)
     });
@@ -197,6 +198,7 @@
             waiting_cpus = demand.waiting_cpus(),
             provisioned_cpus = demand.provisioned_cpus,
             booting = state.booting().count(),
+            shortfalls = demand.shortfalls.len(),
             rentals = plan.len(),
             "tasks wait"
         );
--- a/src/coordination/fleet/mod.rs
+++ b/src/coordination/fleet/mod.rs
@@ -9,5 +9,6 @@
 pub mod manager;
 pub mod rollout;
 pub mod rollout_writer;
-mod scale_in;
+pub mod scale_in;
 pub mod scale_out;
+pub mod shortfall;
--- a/src/coordination/fleet/scale_in.rs
+++ b/src/coordination/fleet/scale_in.rs
@@ -4,7 +4,7 @@
 //! operator cordoned is never returned for being silent or idle.
 
 use super::scale_out::boot_s;
-use crate::coordination::scheduler::job::Name;
+use crate::coordination::scheduler::job::{Job, Name};
 use crate::coordination::scheduler::machine::{Machine, MachineStatus};
 use crate::coordination::scheduler::state::Scheduler;
 use crate::protocol::cloud::{ListedMachine, ListedState};
@@ -95,12 +95,11 @@
 }
 
 /// The name of a machine that has been idle for longer than the policy allows. `None` if there is
-/// no such machine, if any task waits, or if the machines in use have fewer free CPUs than twice
-/// the headroom.
-pub(super) fn idle_machine(scheduler: &Scheduler, policy: &Policy, now: f64) -> Option<Name> {
+/// no such machine, or if the machines in use have fewer free CPUs than twice the headroom. A machine
+/// that a waiting task may use is not returned.
+pub fn idle_machine(scheduler: &Scheduler, policy: &Policy, now: f64) -> Option<Name> {
     let in_use = |m: &Machine| m.status == MachineStatus::Up && !m.cordoned;
     let used_cpus: f64 = scheduler.usage().cpus();
-    let any_task_waits = scheduler.jobs.values().any(|job| job.waiting_tasks() > 0);
     let provisioned_cpus: f64 = scheduler
         .machines
         .values()
@@ -108,14 +107,20 @@
         .filter_map(|m| scheduler.types.get(&m.info.kind))
         .map(|t| t.cpus)
         .sum();
-    if any_task_waits || used_cpus * (1.0 + 2.0 * policy.headroom) > provisioned_cpus {
+    if used_cpus * (1.0 + 2.0 * policy.headroom) > provisioned_cpus {
         return None;
     }
+    let waiting: Vec<&Job> = scheduler
+        .jobs
+        .values()
+        .filter(|job| job.waiting_tasks() > 0)
+        .collect();
+    let is_wanted = |m: &Machine| waiting.iter().any(|job| scheduler.may_use(&job.spec, m));
     let is_idle = |m: &Machine| {
         let max_idle_s = policy.idle_boots * boot_s(&scheduler.types, &m.info.kind);
         in_use(m) && m.attempts.is_empty() && m.queue.is_empty() && now - m.idle_since > max_idle_s
     };
     let mut machines = scheduler.machines.iter();
-    let (name, _) = machines.find(|(_, machine)| is_idle(machine))?;
+    let (name, _) = machines.find(|(_, machine)| is_idle(machine) && !is_wanted(machine))?;
     Some(name.clone())
 }
--- a/src/coordination/fleet/scale_out.rs
+++ b/src/coordination/fleet/scale_out.rs
@@ -1,6 +1,14 @@
 //! Scaling out: pure functions that decide which additional machines to rent.
+//!
+//! Machines are rented for two reasons: the CPUs of the whole fleet do not suffice for all placed and
+//! waiting tasks and a reserve, or some waiting tasks fit on no machine that they may use (see
+//! `shortfall`). In the second case the wait is bounded: if no machine that the job may use is up or
+//! booting, one is requested in the next round; otherwise after the job has waited as long as the
+//! machine takes to boot, since running tasks may end before that.
 
+use super::shortfall::{shortfalls, Shortfall};
 use crate::coordination::scheduler::machine::MachineStatus;
+use crate::coordination::scheduler::resources::Resources;
 use crate::coordination::scheduler::state::{MachineTypes, Scheduler};
 use crate::protocol::cloud::MachineType;
 use crate::protocol::job::JobSpec;
@@ -14,7 +22,7 @@
 /// longer than that of the spot machine by more than this factor.
 const SPOT_BOOT_PENALTY: f64 = 1.2;
 /// Maximum number of machines of one offer in one request.
-const MAX_MACHINES_PER_OFFER: f64 = 50.0;
+const MAX_MACHINES_PER_OFFER: usize = 50;
 /// Lower bound for the CPUs of a machine, which guards against a division by zero.
 const MIN_MACHINE_CPUS: f64 = 0.1;
 
@@ -47,6 +55,8 @@
     pub provisioned_cpus: f64,
     /// CPUs in use by all teams.
     pub used_cpus: f64,
+    /// Waiting tasks that fit on no machine that is up or booting.
+    pub shortfalls: Vec<Shortfall>,
 }
 
 /// Machines of one offer to request from the cloud.
@@ -58,12 +68,12 @@
     pub count: u32,
 }
 
-/// An offer that can be used for the demand.
-struct Candidate {
+/// An offer that the cloud may have machines of now.
+struct Candidate<'a> {
     offer: Offer,
     /// Boot time, including the penalty for spot machines, in seconds. Lower is better.
     weighted_boot_s: f64,
-    cpus: f64,
+    machine_type: &'a MachineType,
 }
 
 /// Boot time of a machine of the type with this name, in seconds.
@@ -76,7 +86,7 @@
     /// The CPUs of machines in `partitioned_zones` do not, because these machines are unreachable.
     pub fn of<'a>(
         scheduler: &'a Scheduler,
-        booting: impl Iterator<Item = &'a MachineInfo>,
+        booting: impl Iterator<Item = &'a MachineInfo> + Clone,
         partitioned_zones: &[String],
         now: f64,
     ) -> Demand {
@@ -93,6 +103,7 @@
         });
         Demand {
             waiting: waiting.collect(),
+            shortfalls: shortfalls(scheduler, booting.clone(), partitioned_zones, now),
             provisioned_cpus: up
                 .map(|m| &m.info)
                 .chain(booting)
@@ -119,23 +130,38 @@
 
     /// Whether any waiting task could run on a machine of the offer. If no task waits, returns
     /// true: machines are then rented only for the headroom, and every offer can be used.
-    fn can_use(&self, offer: &Offer, machine_type: &MachineType) -> bool {
-        let fits = |spec: &JobSpec| {
-            fits_type(spec, machine_type)
-                && (spec.spot || !offer.spot)
-                && spec.zone.as_ref().is_none_or(|zone| *zone == offer.zone)
-        };
-        self.waiting.is_empty() || self.waiting.iter().any(|job| fits(&job.spec))
+    fn can_use(&self, candidate: &Candidate) -> bool {
+        let mut waiting = self.waiting.iter();
+        self.waiting.is_empty() || waiting.any(|job| candidate.fits(&job.spec))
     }
 }
 
-/// The `available` offers that can be used for the demand, sorted by boot time (with the penalty
-/// for spot machines), shortest first.
-fn candidates(
-    demand: &Demand,
-    types: &MachineTypes,
-    available: impl Fn(&Offer) -> bool,
-) -> Vec<Candidate> {
+impl Candidate<'_> {
+    /// Whether a task of the job could run on a machine of the offer.
+    fn fits(&self, spec: &JobSpec) -> bool {
+        fits_type(spec, self.machine_type)
+            && (spec.spot || !self.offer.spot)
+            && spec
+                .zone
+                .as_ref()
+                .is_none_or(|zone| *zone == self.offer.zone)
+    }
+
+    /// Whether a machine of the offer should be rented for the shortfall now.
+    fn helps(&self, shortfall: &Shortfall) -> bool {
+        let has_waited = !shortfall.has_machines || shortfall.waited_s >= self.machine_type.boot_s;
+        has_waited && self.fits(&shortfall.spec) && shortfall.allows_zone(&self.offer.zone)
+    }
+
+    /// CPUs of a machine of the offer.
+    fn cpus(&self) -> f64 {
+        self.machine_type.cpus.max(MIN_MACHINE_CPUS)
+    }
+}
+
+/// The `available` offers, sorted by boot time (with the penalty for spot machines), shortest
+/// first.
+fn candidates(types: &MachineTypes, available: impl Fn(&Offer) -> bool) -> Vec<Candidate<'_>> {
     let mut candidates = Vec::new();
     for machine_type in types.values() {
         for zone in &machine_type.zones {
@@ -145,12 +171,12 @@
                     zone: zone.clone(),
                     spot,
                 };
-                if demand.can_use(&offer, machine_type) && available(&offer) {
+                if available(&offer) {
                     candidates.push(Candidate {
                         offer,
                         weighted_boot_s: machine_type.boot_s
                             * if spot { SPOT_BOOT_PENALTY } else { 1.0 },
-                        cpus: machine_type.cpus.max(MIN_MACHINE_CPUS),
+                        machine_type,
                     });
                 }
             }
@@ -163,31 +189,100 @@
     candidates
 }
 
-/// The machines to request from the cloud: takes `available` offers, shortest boot time first,
-/// until they cover the missing CPUs. `headroom` is the reserve as a fraction of the needed CPUs.
+/// The machines to request of each candidate, and the capacity that they will have left.
+struct RentalPlanner<'a> {
+    candidates: Vec<Candidate<'a>>,
+    /// For each candidate, the capacity left on each machine to request.
+    planned: Vec<Vec<Resources>>,
+}
+
+impl RentalPlanner<'_> {
+    /// Plans up to `count` more machines of the candidate, as far as one request allows. Returns
+    /// how many.
+    fn add_machines(&mut self, candidate: usize, count: usize) -> usize {
+        let planned = &mut self.planned[candidate];
+        let added = count.min(MAX_MACHINES_PER_OFFER - planned.len());
+        let capacity = Resources::of_type(self.candidates[candidate].machine_type);
+        planned.extend(std::iter::repeat_n(capacity, added));
+        added
+    }
+
+    /// Plans machines until they have the missing CPUs.
+    fn cover_cpus(&mut self, demand: &Demand, headroom: f64) {
+        let mut missing_cpus = demand.missing_cpus(headroom);
+        for index in 0..self.candidates.len() {
+            if missing_cpus <= 0.0 {
+                return;
+            }
+            let candidate = &self.candidates[index];
+            if !demand.can_use(candidate) {
+                continue;
+            }
+            let cpus = candidate.cpus();
+            let count = (missing_cpus / cpus).ceil().max(1.0) as usize;
+            missing_cpus -= self.add_machines(index, count) as f64 * cpus;
+        }
+    }
+
+    /// Plans machines until the tasks of the shortfall fit on planned machines.
+    fn cover_shortfall(&mut self, shortfall: &Shortfall) {
+        let need = Resources::of_task(&shortfall.spec);
+        let mut left = shortfall.tasks;
+        let helpful = |candidate: &Candidate| candidate.helps(shortfall);
+        let usable: Vec<usize> = (0..self.candidates.len())
+            .filter(|&index| helpful(&self.candidates[index]))
+            .collect();
+        for &index in &usable {
+            for free in &mut self.planned[index] {
+                left -= free.take(&need, left);
+            }
+        }
+        for &index in &usable {
+            let capacity = Resources::of_type(self.candidates[index].machine_type);
+            let per_machine = capacity.count_of(&need, left);
+            if per_machine == 0 {
+                continue;
+            }
+            let first = self.planned[index].len();
+            self.add_machines(index, left.div_ceil(per_machine) as usize);
+            for free in &mut self.planned[index][first..] {
+                left -= free.take(&need, left);
+            }
+        }
+    }
+
+    fn into_plan(self) -> Vec<RentalPlan> {
+        let requested = self.candidates.into_iter().zip(self.planned);
+        requested
+            .filter(|(_, planned)| !planned.is_empty())
+            .map(|(candidate, planned)| RentalPlan {
+                offer: candidate.offer,
+                count: planned.len() as u32,
+            })
+            .collect()
+    }
+}
+
+/// The machines to request from the cloud, of the `available` offers, those with the shortest boot
+/// time first: enough for the missing CPUs and for all shortfalls that have lasted long enough.
+/// `headroom` is the reserve as a fraction of the needed CPUs.
 pub fn plan(
     demand: &Demand,
     types: &MachineTypes,
     headroom: f64,
     available: impl Fn(&Offer) -> bool,
 ) -> Vec<RentalPlan> {
-    let mut missing_cpus = demand.missing_cpus(headroom);
-    if missing_cpus <= 0.0 {
+    if demand.missing_cpus(headroom) <= 0.0 && demand.shortfalls.is_empty() {
         return Vec::new();
     }
-    let mut plan = Vec::new();
-    for Candidate { offer, cpus, .. } in candidates(demand, types, available) {
-        if missing_cpus <= 0.0 {
-            break;
-        }
-        let count = (missing_cpus / cpus)
-            .ceil()
-            .clamp(1.0, MAX_MACHINES_PER_OFFER);
-        missing_cpus -= count * cpus;
-        plan.push(RentalPlan {
-            offer,
-            count: count as u32,
-        });
+    let candidates = candidates(types, available);
+    let mut planner = RentalPlanner {
+        planned: vec![Vec::new(); candidates.len()],
+        candidates,
+    };
+    planner.cover_cpus(demand, headroom);
+    for shortfall in &demand.shortfalls {
+        planner.cover_shortfall(shortfall);
     }
-    plan
+    planner.into_plan()
 }
--- a/src/coordination/scheduler/capacity_index.rs
+++ b/src/coordination/scheduler/capacity_index.rs
@@ -318,7 +318,13 @@
 
 /// Whether the job may use machines of the type `kind` in this zone, regardless of free capacity.
 /// Spot machines are only for jobs that accept them.
-fn is_allowed(spec: &JobSpec, kind: &str, zone: &str, spot: bool, types: &MachineTypes) -> bool {
+pub(crate) fn is_allowed(
+    spec: &JobSpec,
+    kind: &str,
+    zone: &str,
+    spot: bool,
+    types: &MachineTypes,
+) -> bool {
     (spec.spot || !spot)
         && spec.zone.as_ref().is_none_or(|required| required == zone)
         && types
--- a/src/coordination/scheduler/mod.rs
+++ b/src/coordination/scheduler/mod.rs
@@ -50,4 +50,4 @@
 mod terms;
 pub mod views;
 pub mod work_counters;
-mod zone_constraint;
+pub(crate) mod zone_constraint;
--- a/src/coordination/scheduler/resources.rs
+++ b/src/coordination/scheduler/resources.rs
@@ -76,6 +76,33 @@
         self.attempts -= other.attempts;
     }
 
+    /// How many times `need` fits into this amount, up to `limit` times.
+    pub fn count_of(&self, need: &Resources, limit: u32) -> u32 {
+        let count = |available: f64, needed: f64| {
+            if needed <= 0.0 {
+                f64::INFINITY
+            } else {
+                ((available + ROUNDING_TOLERANCE) / needed).floor()
+            }
+        };
+        let by_amounts = count(self.cpus, need.cpus)
+            .min(count(self.gpus, need.gpus))
+            .min(count(self.memory_gb, need.memory_gb))
+            .min(count(f64::from(self.attempts), f64::from(need.attempts)));
+        by_amounts.clamp(0.0, f64::from(limit)) as u32
+    }
+
+    /// Subtracts `need` as often as it fits, up to `limit` times. Returns how often.
+    pub fn take(&mut self, need: &Resources, limit: u32) -> u32 {
+        let count = self.count_of(need, limit);
+        let times = f64::from(count);
+        self.cpus -= times * need.cpus;
+        self.gpus -= times * need.gpus;
+        self.memory_gb -= times * need.memory_gb;
+        self.attempts -= count as i32 * need.attempts;
+        count
+    }
+
     /// Adds `other` to this amount.
     pub fn add(&mut self, other: &Resources) {
         self.cpus += other.cpus;
--- a/src/coordination/scheduler/team_usage.rs
+++ b/src/coordination/scheduler/team_usage.rs
@@ -49,6 +49,25 @@
     }
 }
 
+impl Usage {
+    /// How many of `tasks` more tasks of the job the limits of the team admit beside this usage.
+    pub(crate) fn admitted_tasks(&self, team: Option<&Team>, spec: &JobSpec, tasks: u32) -> u32 {
+        let Some(team) = team else {
+            return 0;
+        };
+        let admitted = |limit: f64, used: f64, needed: f64| {
+            if limit <= 0.0 || needed <= 0.0 {
+                f64::INFINITY
+            } else {
+                ((limit - used + ROUNDING_TOLERANCE) / needed).floor()
+            }
+        };
+        admitted(team.cpus_max, self.cpus, spec.cpus)
+            .min(admitted(team.gpus_max, self.gpus, spec.gpus))
+            .clamp(0.0, f64::from(tasks)) as u32
+    }
+}
+
 /// Resource usage of each team, by the team's index in the settings.
 #[derive(Debug, Clone, Default)]
 pub struct TeamUsage {
