A job's record never outgrows a value, and a refused record holds up no other

Cause: only the number of tasks decided whether completed tasks stand in the live record, so a record accepted just below value_kb outgrew it. The state service answered 400 to the batch with all other completions in it, and the same batch was planned again. The size of a batch counted 800 bytes for each record, whatever its size.

The log line for a refused rental says so in plain words.

--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -129,6 +129,12 @@
     team_metrics(registry, scheduler)?;
     wait_metrics(registry, scheduler)?;
     work_metrics(registry, scheduler)?;
+    register_gauge(
+        registry,
+        "foxspur_refused_records",
+        "Live jobs whose completed tasks the state service refused to write",
+        scheduler.refused_records() as f64,
+    )?;
     register_gauge(
         registry,
         "foxspur_unaccounted_machines",
--- a/src/coordination/fleet/manager.rs
+++ b/src/coordination/fleet/manager.rs
@@ -211,7 +211,7 @@
     match node.cloud.scale_out(rental).await {
         Ok(rented) => rented.machines,
         Err(ServiceError::Refused) => {
-            tracing::info!(kind = %rental.kind, zone = %rental.zone, spot = rental.spot, asked = rental.count, "the cloud has no such machines");
+            tracing::info!(kind = %rental.kind, zone = %rental.zone, spot = rental.spot, asked = rental.count, "rental request refused by the cloud");
             Vec::new()
         }
         Err(error) => {
--- a/src/coordination/jobs/completed_task_chunks.rs
+++ b/src/coordination/jobs/completed_task_chunks.rs
@@ -1,5 +1,5 @@
-//! Chunks of completed tasks. The completed tasks of a job with too many tasks for one record are
-//! stored in chunks, which are separate from the job's live record.
+//! Chunks of completed tasks. The completed tasks of a job whose live record has no room for all of
+//! them are stored in chunks, which are separate from that record (see `storage::record_limits`).
 
 use crate::coordination::node::Node;
 use crate::coordination::scheduler::job::Name;
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 
 /// Reads the completed tasks that are stored in a job's chunks. Returns an empty set for a job
-/// that has no chunks because all its tasks fit into its live record. A chunk that cannot be
+/// that has no chunks because its completed tasks stand in its live record. A chunk that cannot be
 /// parsed is skipped, so its tasks run again.
 ///
 /// # Errors
@@ -21,7 +21,7 @@
     priority: Priority,
 ) -> Result<CompletedTasks, ServiceError> {
     let mut completed = CompletedTasks::default();
-    if record.spec.tasks <= node.tasks_per_record() {
+    if node.record_limits().chunk_count(&record.spec) == 0 {
         return Ok(completed);
     }
     let prefix = records::completed_prefix(&record.spec.id);
@@ -33,11 +33,11 @@
     Ok(completed)
 }
 
-/// Deletes the chunks of a finished job with this many tasks in the background. If a deletion
-/// fails, the remaining chunks are never deleted; they only take up space.
-pub fn delete(node: Rc<Node>, id: Name, tasks: u32) {
+/// Deletes this many chunks of a finished job in the background. If a deletion fails, the remaining
+/// chunks are never deleted; they only take up space.
+pub fn delete(node: Rc<Node>, id: Name, chunks: u32) {
     actix_rt::spawn(async move {
-        for chunk in 0..chunk_count(tasks, node.tasks_per_record()) {
+        for chunk in 0..chunks {
             let txn = Txn::default().delete(&records::completed_key(&id, chunk));
             if node.state.txn(&txn, Priority::Data).await.is_err() {
                 return;
@@ -45,12 +45,3 @@
         }
     });
 }
-
-/// Number of chunks of a job with this many tasks; 0 if the tasks fit into the live record.
-fn chunk_count(tasks: u32, tasks_per_record: u32) -> u32 {
-    if tasks > tasks_per_record {
-        tasks.div_ceil(tasks_per_record)
-    } else {
-        0
-    }
-}
--- a/src/coordination/jobs/completion_batch.rs
+++ b/src/coordination/jobs/completion_batch.rs
@@ -7,17 +7,16 @@
 use crate::protocol::job::JobState;
 use crate::protocol::state::Txn;
 use crate::storage::completed_tasks::CompletedTasks;
+use crate::storage::record_limits::RecordLimits;
 use crate::storage::records::{self, CompletedTasksChunk, LiveJob, TerminalRecord};
 use crate::transport::token_bucket::{Priority, TokenBucket};
 
-/// Estimated size, in bytes, above which no further job is added to a transaction. This is half
-/// of the protocol's limit; the other half is left for the JSON syntax and for the last job.
-const FULL_TXN_BYTES: usize = records::MAX_TXN_BYTES / 2;
+/// Size, in bytes, up to which a transaction is filled. The rest of the protocol's limit is left for
+/// the JSON syntax and for the conditions.
+const FULL_TXN_BYTES: usize = records::MAX_TXN_BYTES - 8 * 1024;
 /// Estimated size, in bytes, of the two changes that write a job's terminal record and delete its
 /// live record.
 const TERMINAL_RECORD_BYTES: usize = 200;
-/// Estimated size of a live record without its completed tasks, in bytes.
-const LIVE_RECORD_BYTES: usize = 800;
 /// Estimated size of a chunk without its completed tasks, in bytes.
 const CHUNK_BYTES: usize = 100;
 
@@ -41,22 +40,31 @@
     pub chunked: bool,
 }
 
-/// Plans the next batch of at most `txn_ops` changes. Returns `None` if there is nothing to write
+/// The limits on one batch.
+#[derive(Debug, Clone, Copy)]
+pub struct BatchLimits {
+    /// Maximum number of changes.
+    pub txn_ops: usize,
+    /// Maximum number of jobs.
+    pub jobs: usize,
+    /// Which jobs store their completed tasks in chunks.
+    pub records: RecordLimits,
+}
+
+/// Plans the next batch within the limits. Returns `None` if there is nothing to write
 /// or if `partial_write_budget`, which limits the writes for jobs that still have tasks to run,
-/// is used up before the first job is added. Completed tasks of jobs with more than `chunk_tasks`
-/// tasks are stored in chunks.
+/// is used up before the first job is added.
 pub fn plan(
     scheduler: &Scheduler,
-    txn_ops: usize,
-    chunk_tasks: u32,
+    limits: &BatchLimits,
     partial_write_budget: &mut TokenBucket,
     now: f64,
 ) -> Option<CompletionBatch> {
-    let due_jobs = scheduler.completions_due(txn_ops);
+    let due_jobs = scheduler.completions_due(limits.jobs.min(limits.txn_ops));
     if due_jobs.is_empty() {
         return None;
     }
-    let mut builder = BatchBuilder::new(txn_ops, chunk_tasks, scheduler.wall_clock_offset_s);
+    let mut builder = BatchBuilder::new(limits, scheduler.wall_clock_offset_s);
     for id in due_jobs {
         let Some(job) = scheduler.jobs.get(&id) else {
             continue;
@@ -68,7 +76,7 @@
         {
             break;
         }
-        if builder.is_full() {
+        if !builder.has_room_for_job(job) {
             break;
         }
         builder.add(id, job);
@@ -83,37 +91,54 @@
     /// Estimated size of the transaction in bytes.
     bytes: usize,
     txn_ops: usize,
-    chunk_tasks: u32,
+    limits: RecordLimits,
     wall_clock_offset_s: f64,
 }
 
 impl BatchBuilder {
-    fn new(txn_ops: usize, chunk_tasks: u32, wall_clock_offset_s: f64) -> BatchBuilder {
+    fn new(limits: &BatchLimits, wall_clock_offset_s: f64) -> BatchBuilder {
         BatchBuilder {
             txn: Txn::default(),
             completions: Vec::new(),
             bytes: 0,
-            txn_ops,
-            chunk_tasks,
+            txn_ops: limits.txn_ops,
+            limits: limits.records,
             wall_clock_offset_s,
         }
     }
 
-    /// Whether there is no room for another job. A job is added only if two changes fit: a finished
-    /// job takes two, and a chunked job takes one, plus one for each changed chunk that fits.
-    fn is_full(&self) -> bool {
-        !self.has_room_for(2)
+    /// Whether the job can be added. A job is added only if two changes fit: a finished job takes
+    /// two, and a chunked job takes one, plus one for each changed chunk that fits. The first job is
+    /// always added.
+    fn has_room_for_job(&self, job: &Job) -> bool {
+        self.completions.is_empty() || self.has_room_for(2, self.bytes_of(job))
+    }
+
+    /// Upper bound on the bytes of the changes for the job, with one chunk if it has any.
+    fn bytes_of(&self, job: &Job) -> usize {
+        if job.is_complete() {
+            TERMINAL_RECORD_BYTES
+        } else if self.is_chunked(job) {
+            job.record_bytes + CHUNK_BYTES + self.limits.value_bytes / 2
+        } else {
+            job.record_bytes + job.completed.to_text().len()
+        }
+    }
+
+    /// Whether this number of changes with this number of bytes can still be added.
+    fn has_room_for(&self, changes: usize, bytes: usize) -> bool {
+        self.txn.changes.len() + changes <= self.txn_ops && self.bytes + bytes <= FULL_TXN_BYTES
     }
 
-    /// Whether this number of changes can still be added.
-    fn has_room_for(&self, changes: usize) -> bool {
-        self.txn.changes.len() + changes <= self.txn_ops && self.bytes <= FULL_TXN_BYTES
+    /// Whether the job's completed tasks are stored in chunks.
+    fn is_chunked(&self, job: &Job) -> bool {
+        self.limits.stores_chunks(job.spec.tasks, job.record_bytes)
     }
 
     /// Adds the changes for a job, conditional on the version of its live record that the
     /// scheduler knows.
     fn add(&mut self, id: Name, job: &Job) {
-        let chunked = job.spec.tasks > self.chunk_tasks;
+        let chunked = self.is_chunked(job);
         let live_key = records::live_key(&id);
         self.edit(|txn| txn.when(&live_key, job.version));
         let mut completion = JobCompletion {
@@ -154,19 +179,21 @@
     /// chunks is conditional on the version of the live record, so a transaction that got no
     /// response and is executed late cannot overwrite newer completions with older ones. (Such an
     /// overwrite would lose completions: workers no longer report these tasks, so a new leader
-    /// would run them again.)
+    /// would run them again.) It keeps the completed tasks that it lists, which an earlier version
+    /// of the program may have written there, and no more are added, so that it does not grow.
     fn put_changed_chunks(&mut self, id: &str, live_key: &str, job: &Job) -> CompletedTasks {
-        self.put_live_record(live_key, job, String::new());
+        self.put_live_record(live_key, job, job.saved_in_record.to_text());
+        let chunk_tasks = self.limits.chunk_tasks;
         let mut written = CompletedTasks::default();
-        for chunk in 0..job.spec.tasks.div_ceil(self.chunk_tasks) {
-            let completed = job.completed.chunk(chunk, self.chunk_tasks);
-            if completed == job.saved.chunk(chunk, self.chunk_tasks) {
+        for chunk in 0..job.spec.tasks.div_ceil(chunk_tasks) {
+            let completed = job.completed.chunk(chunk, chunk_tasks);
+            if completed == job.saved.chunk(chunk, chunk_tasks) {
                 continue;
             }
-            if !self.has_room_for(1) {
+            let done = completed.to_text();
+            if !self.has_room_for(1, done.len() + CHUNK_BYTES) {
                 break;
             }
-            let done = completed.to_text();
             self.bytes += done.len() + CHUNK_BYTES;
             let key = records::completed_key(id, chunk);
             self.edit(|txn| txn.put(&key, &CompletedTasksChunk { done }));
@@ -177,7 +204,7 @@
 
     /// Adds a write of the job's live record that lists the tasks `done` as completed.
     fn put_live_record(&mut self, live_key: &str, job: &Job, done: String) {
-        self.bytes += done.len() + LIVE_RECORD_BYTES;
+        self.bytes += done.len() + job.record_bytes;
         let record = live_record(job, self.wall_clock_offset_s, done);
         self.edit(|txn| txn.put(live_key, &record));
     }
--- a/src/coordination/jobs/completion_writer.rs
+++ b/src/coordination/jobs/completion_writer.rs
@@ -4,7 +4,7 @@
 //! no response and is executed late therefore cannot overwrite a newer record.
 
 use super::completed_task_chunks;
-use super::completion_batch::{self, CompletionBatch, JobCompletion};
+use super::completion_batch::{self, BatchLimits, CompletionBatch, JobCompletion};
 use crate::coordination::node::Node;
 use crate::coordination::scheduler::state::Scheduler;
 use crate::protocol::settings::Cluster;
@@ -22,17 +22,29 @@
     pub node: Rc<Node>,
 }
 
+/// How much the next batches may contain.
+struct WritePace {
+    /// Limits the writes for jobs that still have tasks to run.
+    partial_write_budget: TokenBucket,
+    /// A batch of several jobs was refused. Until all due jobs were written or refused by
+    /// themselves, each batch contains one job, which shows which of them is at fault.
+    one_job_at_a_time: bool,
+}
+
 impl Actor for CompletionWriter {
     type Context = Context<Self>;
 
     fn started(&mut self, _: &mut Self::Context) {
         let node = self.node.clone();
         let interval = batch_interval(&node.settings.cluster);
-        let mut partial_write_budget = partial_write_budget(&node.settings.cluster);
+        let mut pace = WritePace {
+            partial_write_budget: partial_write_budget(&node.settings.cluster),
+            one_job_at_a_time: false,
+        };
         actix_rt::spawn(async move {
             loop {
                 actix_rt::time::sleep(interval).await;
-                while write_batch(&node, &mut partial_write_budget).await {}
+                while write_batch(&node, &mut pace).await {}
             }
         });
     }
@@ -55,8 +67,9 @@
 }
 
 /// Writes one batch. Returns true if the caller must try to write another batch at once.
-async fn write_batch(node: &Rc<Node>, partial_write_budget: &mut TokenBucket) -> bool {
-    let Some((batch, term)) = next_batch(node, partial_write_budget) else {
+async fn write_batch(node: &Rc<Node>, pace: &mut WritePace) -> bool {
+    let Some((batch, term)) = next_batch(node, pace) else {
+        pace.one_job_at_a_time = false;
         return false;
     };
     let CompletionBatch { txn, completions } = batch;
@@ -73,6 +86,10 @@
             }
             true
         }
+        Err(ServiceError::Status(400..=499)) => {
+            handle_refused_batch(node, &completions, pace, term);
+            true
+        }
         // The transaction may or may not have been executed, and may still be executed later. If
         // it is executed before the next batch, the version conditions of the next batch fail, and
         // the live records are read again.
@@ -82,22 +99,35 @@
 
 /// Plans the next batch, and returns it with the base term of the scheduler that it was planned
 /// for. Returns `None` if this controller does not lead or there is nothing to write.
-fn next_batch(
-    node: &Node,
-    partial_write_budget: &mut TokenBucket,
-) -> Option<(CompletionBatch, u64)> {
+fn next_batch(node: &Node, pace: &mut WritePace) -> Option<(CompletionBatch, u64)> {
     let scheduler = node.scheduler.borrow();
     let scheduler = scheduler.as_ref()?;
-    let batch = completion_batch::plan(
-        scheduler,
-        node.settings.cluster.state.txn_ops,
-        node.tasks_per_record(),
-        partial_write_budget,
-        node.now(),
-    )?;
+    let txn_ops = node.settings.cluster.state.txn_ops;
+    let limits = BatchLimits {
+        txn_ops,
+        jobs: if pace.one_job_at_a_time { 1 } else { txn_ops },
+        records: node.record_limits(),
+    };
+    let budget = &mut pace.partial_write_budget;
+    let batch = completion_batch::plan(scheduler, &limits, budget, node.now())?;
     Some((batch, scheduler.fence.base_term))
 }
 
+/// Handles a batch that the state service refused for good. If the batch contained one job, this job
+/// is set apart; otherwise the jobs are written one by one.
+fn handle_refused_batch(
+    node: &Node,
+    completions: &[JobCompletion],
+    pace: &mut WritePace,
+    term: u64,
+) {
+    if let [completion] = completions {
+        node.with_scheduler(term, |scheduler| scheduler.record_refused(&completion.job));
+    } else {
+        pace.one_job_at_a_time = true;
+    }
+}
+
 /// Applies a batch that was written at `version` to the scheduler and to the cache of terminal
 /// states, and deletes the chunks of finished jobs.
 fn handle_written_batch(node: &Rc<Node>, completions: Vec<JobCompletion>, version: u64, term: u64) {
@@ -118,7 +148,8 @@
         };
         node.terminal_states.borrow_mut().put(&job, terminal);
         if chunked {
-            completed_task_chunks::delete(node.clone(), job, terminal.tasks);
+            let chunks = terminal.tasks.div_ceil(node.record_limits().chunk_tasks);
+            completed_task_chunks::delete(node.clone(), job, chunks);
         }
     }
 }
--- a/src/coordination/jobs/mod.rs
+++ b/src/coordination/jobs/mod.rs
@@ -13,7 +13,7 @@
 //! - [`live_job_watch`]: the leader's watch of live jobs.
 //! - [`completion_writer`]: the actor that writes completed tasks and terminal records;
 //!   [`completion_batch`] plans each of its transactions.
-//! - [`completed_task_chunks`]: the completed tasks of jobs with too many tasks for one record.
+//! - [`completed_task_chunks`]: the completed tasks of jobs whose record has no room for them.
 
 pub mod admission;
 pub mod completed_task_chunks;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -17,6 +17,7 @@
 use crate::protocol::policy::Policy;
 use crate::protocol::settings::Settings;
 use crate::storage::machine_record::MachineRecord;
+use crate::storage::record_limits::RecordLimits;
 use crate::storage::records::TerminalRecord;
 use crate::transport::clients::{CloudClient, MeshClient, StateClient, WorkerClient};
 use actix_rt::time::Instant;
@@ -39,14 +40,6 @@
 /// Maximum acceptance time that the histogram records, in milliseconds. Longer times are recorded
 /// as this time.
 const MAX_ACCEPTANCE_MS: u64 = 600_000;
-/// Lower limit of [`Node::tasks_per_record`], for state services that only allow very small
-/// values.
-const MIN_TASKS_PER_RECORD: f64 = 64.0;
-/// Bytes of a value that are reserved for each completed task in a live record. A range of tasks
-/// takes up to 14 bytes and covers at least two tasks, so at least half of the value is left for
-/// the rest of the record.
-const BYTES_PER_COMPLETED_TASK: f64 = 16.0;
-
 /// A random incarnation number of 52 bits, which every JSON parser reads exactly.
 pub fn random_incarnation() -> u64 {
     SmallRng::from_os_rng().next_u64() >> 12
@@ -338,10 +331,8 @@
             .map(|peer| peer.addr)
     }
 
-    /// Maximum number of tasks that a job may have for its completed tasks to be stored in its live
-    /// record. The completed tasks of larger jobs are stored in chunks of this many tasks.
-    pub fn tasks_per_record(&self) -> u32 {
-        let value_bytes = self.settings.cluster.state.value_kb * 1024.0;
-        (value_bytes / BYTES_PER_COMPLETED_TASK).max(MIN_TASKS_PER_RECORD) as u32
+    /// The limits on the records of one job.
+    pub fn record_limits(&self) -> RecordLimits {
+        RecordLimits::new(self.settings.cluster.state.value_kb)
     }
 }
--- a/src/coordination/scheduler/job.rs
+++ b/src/coordination/scheduler/job.rs
@@ -7,6 +7,7 @@
 
 use crate::protocol::job::{JobSpec, Shape, Urgency};
 use crate::storage::completed_tasks::CompletedTasks;
+use crate::storage::record_limits::live_record_bytes;
 use foldhash::fast::RandomState;
 use indexmap::{IndexMap, IndexSet};
 use std::cell::Cell;
@@ -172,8 +173,15 @@
     pub completed: CompletedTasks,
     /// Completed tasks that are saved in the state service.
     pub saved: CompletedTasks,
+    /// Completed tasks that the job's live record lists, as last read. They are a part of `saved`.
+    pub saved_in_record: CompletedTasks,
+    /// Upper bound on the size of the job's live record without completed tasks, in bytes.
+    pub record_bytes: usize,
     /// When completed tasks were last saved; before the first save, when the job was accepted.
     pub saved_at: f64,
+    /// When the state service last refused to write the job's completed tasks; `None` if it has
+    /// written them since, or never refused.
+    pub refused_at: Option<f64>,
     /// The state service records the job as finished or cancelled, so no task of it may start.
     pub finished: bool,
     /// The smallest index from which on all tasks are waiting without being tracked
@@ -241,14 +249,18 @@
         version: u64,
         saved: CompletedTasks,
     ) -> Job {
+        let record_bytes = live_record_bytes(&spec);
         let mut job = Job {
             spec,
             team,
             accepted_at,
             version,
             saved: saved.clone(),
+            saved_in_record: CompletedTasks::default(),
+            record_bytes,
             completed: CompletedTasks::default(),
             saved_at: accepted_at,
+            refused_at: None,
             finished: false,
             next_untracked: 0,
             requeued: BTreeSet::new(),
@@ -315,10 +327,12 @@
         }
     }
 
-    /// Marks the tasks in `saved` as completed and as saved in the state service.
-    pub(crate) fn merge_saved(&mut self, saved: &CompletedTasks) {
-        self.saved.merge(saved);
-        self.merge_completed(saved);
+    /// Marks the tasks that the job's live record lists as completed and as saved in the state
+    /// service.
+    pub(crate) fn merge_record(&mut self, listed: &CompletedTasks) {
+        self.saved.merge(listed);
+        self.merge_completed(listed);
+        self.saved_in_record = listed.clone();
     }
 
     /// Index in `zones` of this zone.
--- a/src/coordination/scheduler/jobs.rs
+++ b/src/coordination/scheduler/jobs.rs
@@ -21,7 +21,7 @@
             if version > job.version {
                 let saved = CompletedTasks::from_text(&record.done, job.spec.tasks);
                 job.version = version;
-                job.merge_saved(&saved);
+                job.merge_record(&saved);
             }
             return;
         }
@@ -40,11 +40,12 @@
     }
 
     fn job_from_record(&self, record: LiveJob, version: u64, completed: CompletedTasks) -> Job {
-        let mut saved = CompletedTasks::from_text(&record.done, record.spec.tasks);
-        saved.merge(&completed);
+        let listed = CompletedTasks::from_text(&record.done, record.spec.tasks);
         let accepted_at = record.accepted_at_ms as f64 / 1000.0 - self.wall_clock_offset_s;
         let team = self.team_index(&record.spec.team);
-        Job::new(record.spec, team, accepted_at, version, saved)
+        let mut job = Job::new(record.spec, team, accepted_at, version, completed);
+        job.merge_record(&listed);
+        job
     }
 
     /// Handles a job that the state service records as finished or cancelled: no task of the
--- a/src/coordination/scheduler/views.rs
+++ b/src/coordination/scheduler/views.rs
@@ -57,6 +57,10 @@
                 "fails on every machine it was tried on ({failures} failures on {machines} machines): look at the job"
             );
         }
+        if job.refused_at.is_some() {
+            let bytes = job.record_bytes;
+            return format!("the state service refuses its record of {bytes} bytes and more");
+        }
         if job.unplaced_tasks() == 0 {
             return "all tasks are on machines".into();
         }
--- a/src/handlers/jobs.rs
+++ b/src/handlers/jobs.rs
@@ -243,6 +243,9 @@
         let txn = cancellation_txn(&id, version, &terminal);
         match node.state.txn(&txn, Priority::Data).await {
             Ok(_) => {
+                let limits = node.record_limits();
+                let chunks = record.map_or(0, |record| limits.chunk_count(&record.spec));
+                completed_task_chunks::delete(node.get_ref().clone(), id.as_str().into(), chunks);
                 publish_cancellation(&node, &id, terminal).await;
                 return accepted_response(StatusCode::OK, &id, JobState::Cancelled);
             }
@@ -277,7 +280,6 @@
     tracing::info!(job = %id, "cancelled");
     node.learn_terminal_state(id, terminal);
     dispatcher::send_due_calls(node);
-    completed_task_chunks::delete(node.clone(), id.into(), terminal.tasks);
     notify_leader(node, id).await;
 }
 
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -237,7 +237,7 @@
     /// When the job was accepted: Unix time in milliseconds.
     #[serde(rename = "at_ms")]
     pub accepted_at_ms: u64,
-    /// The completed tasks as ranges; empty if the job has too many tasks for one record.
+    /// The completed tasks as ranges; empty if they are stored in chunks.
     #[serde(default)]
     pub done: String,
 }
@@ -250,7 +250,7 @@
     }
 }
 
-/// Some of the completed tasks of a job with too many tasks for one record.
+/// Some of the completed tasks of a job whose live record has no room for all of them.
 ///
 /// Written by the leader together with the job's live record, conditional on that record's
 /// version; read by a controller that takes over. Deleted by the controller that wrote the
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -6,7 +6,7 @@
 use common::*;
 use foxspur::coordination::agents::direct_calls::CallResult;
 use foxspur::coordination::agents::heartbeat::HeartbeatReply;
-use foxspur::coordination::jobs::completion_batch;
+use foxspur::coordination::jobs::completion_batch::{self, BatchLimits};
 use foxspur::coordination::scheduler::fence::unfenced_leaders;
 use foxspur::coordination::scheduler::machine::MachineStatus;
 use foxspur::coordination::scheduler::quota::within_limit;
@@ -16,6 +16,7 @@
 use foxspur::protocol::state::Txn;
 use foxspur::protocol::worker::{Cause, Command, Phase, Report};
 use foxspur::storage::completed_tasks::CompletedTasks;
+use foxspur::storage::record_limits::RecordLimits;
 use foxspur::storage::records::{self, FormerLeader, TermCounter, TOKENS_PER_TERM};
 use foxspur::transport::token_bucket::TokenBucket;
 use foxspur_testbed::store::Store;
@@ -786,6 +787,14 @@
 /// that their workers had forgotten would have run again.)
 #[test]
 fn a_late_completion_write_replaces_nothing() {
+    let limits = BatchLimits {
+        txn_ops: 32,
+        jobs: 32,
+        records: RecordLimits {
+            value_bytes: 16 * 1024,
+            chunk_tasks: 128,
+        },
+    };
     for (tasks, chunked) in [(20, false), (300, true)] {
         let mut scheduler = scheduler(unlimited_team(), 5, &["m1"]);
         let mut store = Store::default();
@@ -803,7 +812,7 @@
             scheduler.unsaved_jobs.insert("run-1".into());
             let now = 100.0 * n as f64;
             scheduler.tick(now, now);
-            let batch = completion_batch::plan(&scheduler, 32, 128, &mut budget, now)
+            let batch = completion_batch::plan(&scheduler, &limits, &mut budget, now)
                 .expect("a batch is due");
             assert_eq!(batch.completions[0].chunked, chunked);
             batches.push(batch);
