Review: a job waits for ever beside the idle machine on which it failed once

Cause: a machine on which a task of a job failed is left out for that job for good, as long as other machines are usable, whether or not they have room; the job counts as having room there, so nothing is rented either.

Nothing is fixed.

--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -13,7 +13,7 @@
 type Outcome = Result<Option<String>, String>;
 
 /// How long a case may take, in seconds, before it is given up.
-const LONGEST_S: u64 = 110;
+const LONGEST_S: u64 = 117;
 
 /// A running deployment.
 struct Deployment {
@@ -32,6 +32,8 @@
     let play: fn(&Deployment) -> Outcome = match case {
         "cut-leader" => cut_leader,
         "frozen-leader" => frozen_leader,
+        "avoided-machine" => avoided_machine,
+        "suspect-service" => suspect_service,
         _ => return Err(format!("no case {case}")),
     };
     let (site, times, flavors) = site::riga();
@@ -300,3 +302,119 @@
     sleep(8.0);
     Ok(started_after(d, "run-000002", told_at))
 }
+
+/// The time after the end of the troubles for which a job may be left waiting, in seconds.
+const LONGEST_WAIT_S: f64 = 90.0;
+
+impl Deployment {
+    fn started(&self, task: &str) -> bool {
+        self.fleet.starts().iter().any(|start| start.task == task)
+    }
+
+    fn running_of(&self, job: &str) -> usize {
+        let prefix = format!("{job}/");
+        let running = self.fleet.running();
+        running
+            .iter()
+            .filter(|(task, _)| task.starts_with(&prefix))
+            .count()
+    }
+
+    /// Waits until a task of the job begins to run or `LONGEST_WAIT_S` have passed. Returns what is
+    /// wrong if it is left waiting all the time while a machine has room for it: `room` counts as
+    /// long as the named machines are idle.
+    fn left_waiting(&self, task: &str, room: &[String]) -> Option<String> {
+        let began = Instant::now();
+        let is_idle = |host: &String| self.fleet.idle().iter().any(|(name, _)| name == host);
+        while began.elapsed().as_secs_f64() < LONGEST_WAIT_S {
+            if self.runs(task) || !room.iter().any(is_idle) {
+                return None;
+            }
+            sleep(0.2);
+        }
+        let idle = self.fleet.idle();
+        let idle: Vec<String> = idle
+            .iter()
+            .map(|(host, cpus)| format!("{host} ({cpus} CPUs)"))
+            .collect();
+        Some(format!(
+            "{task} is left waiting for {LONGEST_WAIT_S} s after the end of the trouble, while these machines have nothing to do: {}",
+            idle.join(", ")
+        ))
+    }
+}
+
+/// One machine fails the tasks that it starts, for some seconds. It is the only one with room, then
+/// and afterwards. A job that failed there must start there once the trouble is over.
+fn avoided_machine(d: &Deployment) -> Outcome {
+    d.fleet.add("till-node", "riga-left-bank");
+    d.fleet.add("till-node", "riga-right-bank");
+    d.steward()?;
+    d.submit(&Job::service("run-000001", "platform-core", 2), 0)?;
+    wait("the service", 30.0, || d.running_of("run-000001") == 2)?;
+    let large = if d.trouble {
+        d.fleet.add_sick("ledger-node", "riga-left-bank")
+    } else {
+        d.fleet.add("ledger-node", "riga-left-bank")
+    };
+    // The cloud has more machines, if one is asked for.
+    d.fleet.stock(4);
+    sleep(4.0);
+    let job = Job {
+        run_s: 3.0,
+        ..Job::points("run-000002", 1)
+    };
+    d.submit(&job, 1)?;
+    wait("a start of the job", 20.0, || d.started("run-000002/0"))?;
+    sleep(4.0);
+    if d.trouble {
+        d.fleet.heal();
+    } else {
+        wait("the job", 10.0, || !d.fleet.ends().is_empty())?;
+        return Ok(None);
+    }
+    Ok(d.left_waiting("run-000002/0", &[large]))
+}
+
+/// Three of 64 machines fail the tasks that they start, for some seconds, and one of two replicas of
+/// a service fails on each of them. Once the trouble is over it must start on a machine with room.
+fn suspect_service(d: &Deployment) -> Outcome {
+    for n in 0..61 {
+        let site = ["riga-left-bank", "riga-right-bank"][n % 2];
+        d.fleet.add("till-node", site);
+    }
+    d.steward()?;
+    d.submit(&Job::service("run-000001", "platform-core", 34), 0)?;
+    d.submit(&Job::service("run-000002", "grocer-team", 26), 0)?;
+    wait("the other services", 40.0, || {
+        d.running_of("run-000001") == 34 && d.running_of("run-000002") == 26
+    })?;
+    d.submit(&Job::service("run-000003", "airline-team", 2), 1)?;
+    wait("the first replica", 20.0, || {
+        d.running_of("run-000003") == 1
+    })?;
+    for _ in 0..3 {
+        if d.trouble {
+            d.fleet.add_sick("till-node", "riga-left-bank");
+        } else {
+            d.fleet.add("till-node", "riga-left-bank");
+        }
+    }
+    if !d.trouble {
+        wait("the second replica", 30.0, || {
+            d.running_of("run-000003") == 2
+        })?;
+        return Ok(None);
+    }
+    let failures = || d.fleet.ends().iter().filter(|end| end.4 == "error").count();
+    wait("three failures", 30.0, || failures() >= 3)?;
+    sleep(1.0);
+    d.fleet.heal();
+    let room = d.fleet.add("ledger-node", "riga-right-bank");
+    let waiting = if d.runs("run-000003/0") {
+        "run-000003/1"
+    } else {
+        "run-000003/0"
+    };
+    Ok(d.left_waiting(waiting, &[room]))
+}
--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -77,6 +77,8 @@
     deaf_until: Instant,
     /// Reports do not reach any controller until then.
     mute_until: Instant,
+    /// The machine fails every task that it starts.
+    sick: bool,
 }
 
 pub struct Times {
@@ -149,6 +151,34 @@
 
     /// Adds a machine that is up, and returns its name.
     pub fn add(&self, flavor: &str, site: &str) -> String {
+        self.add_machine(flavor, site, false)
+    }
+
+    /// Adds a machine that is up and fails every task that it starts.
+    pub fn add_sick(&self, flavor: &str, site: &str) -> String {
+        self.add_machine(flavor, site, true)
+    }
+
+    /// From now on no machine fails the tasks that it starts.
+    pub fn heal(&self) {
+        for machine in self.machines().values_mut() {
+            machine.sick = false;
+        }
+        self.0.record.line("no machine is sick any more");
+    }
+
+    /// The machines that are up and have no task, with their CPUs.
+    pub fn idle(&self) -> Vec<(String, f64)> {
+        let machines = self.machines();
+        let live = |m: &&Machine| {
+            let mut tasks = m.tasks.values();
+            m.up && tasks.all(|task| matches!(task.phase, Phase::Exited(..)))
+        };
+        let idle = machines.values().filter(live);
+        idle.map(|m| (m.host.clone(), m.flavor.cpus)).collect()
+    }
+
+    fn add_machine(&self, flavor: &str, site: &str, sick: bool) -> String {
         let flavor = self.0.flavors.iter().find(|f| f.name == flavor);
         let flavor = flavor.expect("a known flavor").clone();
         let listener = listen();
@@ -174,6 +204,7 @@
                 hung_until: now,
                 deaf_until: now,
                 mute_until: now,
+                sick,
             },
         );
         drop(machines);
@@ -290,6 +321,10 @@
                         machine.images.insert(job.bundle.clone());
                     }
                     begun.push((task.clone(), *attempt));
+                    if machine.sick {
+                        state.phase = Phase::Exited("error", None);
+                        ended.push((task.clone(), *attempt, "error"));
+                    }
                 }
                 Phase::Running(until) if until <= now => {
                     state.phase = Phase::Exited("done", None);
--- a/review/stand-ins-2/site.rs
+++ b/review/stand-ins-2/site.rs
@@ -109,6 +109,7 @@
     pub queue: &'static str,
     pub owner: &'static str,
     pub urgency: &'static str,
+    pub shape: &'static str,
     pub shards: u32,
     pub cpus: f64,
     pub memory_gb: f64,
@@ -125,6 +126,7 @@
             queue: "points-accrual",
             owner: "grocer-team",
             urgency: "standard",
+            shape: "sweep",
             shards,
             cpus: 4.0,
             memory_gb: 10.0,
@@ -134,12 +136,23 @@
         }
     }
 
+    /// A service whose replicas take a whole `till-node` each.
+    pub fn service(id: &'static str, owner: &'static str, replicas: u32) -> Job {
+        Job {
+            shape: "service",
+            owner,
+            run_s: 1e6,
+            ..Job::points(id, replicas)
+        }
+    }
+
     pub fn body(&self) -> String {
         format!(
-            "{{\"name_id\":\"{}\",\"queue\":\"{}\",\"owner\":\"{}\",\"shape\":\"sweep\",\"urgency\":\"{}\",\"shards\":{},\
+            "{{\"name_id\":\"{}\",\"queue\":\"{}\",\"owner\":\"{}\",\"shape\":\"{}\",\"urgency\":\"{}\",\"shards\":{},\
              \"cpus\":{:?},\"cards\":0.0,\"memory_gb\":{:?},\"bundle\":\"img-07\",\"image_gb\":0.1,\"flavors\":null,\"site\":null,\
-             \"together\":{},\"scatter\":{},\"standby\":true,\"expected_s\":40.0,\"save_every_s\":0.0,\"save_cost_s\":0.0,\"due_s\":null}}",
-            self.id, self.queue, self.owner, self.urgency, self.shards, self.cpus, self.memory_gb, self.together, self.scatter
+             \"together\":{},\"scatter\":{},\"standby\":true,\"expected_s\":{:?},\"save_every_s\":0.0,\"save_cost_s\":0.0,\"due_s\":null}}",
+            self.id, self.queue, self.owner, self.shape, self.urgency, self.shards, self.cpus, self.memory_gb, self.together, self.scatter,
+            if self.shape == "service" { 0.0 } else { 40.0 }
         )
     }
 
