Review: a rack restarts unheard, and a repeat of a call runs its task twice

Cause: an answered start is ruled out by the end of the leases alone unless a restart is suspected, and a machine that restarts while it is not heard gives no sign of it. A late repeat of the call then finds a session and a token that match.

Nothing is fixed.

--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -3,11 +3,10 @@
 use crate::cluster::{free_addrs, Cluster, Places, Site};
 use crate::fleet::{Flavor, Fleet, Times};
 use crate::json::Json;
-use crate::link::Link;
 use crate::record::Record;
 use crate::site::{self, Job};
 use crate::state::State;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::{Duration, Instant};
 
 type Outcome = Result<Option<String>, String>;
@@ -20,23 +19,22 @@
     cluster: Cluster,
     fleet: Fleet,
     state: State,
-    /// For each controller, its links to all others.
-    links: Vec<Vec<Link>>,
     record: Record,
-    /// Folder of the settings files and the controllers' logs.
-    work: PathBuf,
     trouble: bool,
 }
 
 pub fn run(case: &str, root: &Path, folder: &Path, trouble: bool) -> Outcome {
     let play: fn(&Deployment) -> Outcome = match case {
-        "cut-leader" => cut_leader,
-        "frozen-leader" => frozen_leader,
         "avoided-machine" => avoided_machine,
+        "frozen-leader" => frozen_leader,
+        "restarted-rack" => restarted_rack,
         "suspect-service" => suspect_service,
         _ => return Err(format!("no case {case}")),
     };
-    let (site, times, flavors) = site::riga();
+    let (site, times, flavors) = match case {
+        "restarted-rack" => site::amman(),
+        _ => site::riga(),
+    };
     let deployment = deploy(root, folder, site, times, flavors, trouble)?;
     let watched = deployment.cluster.clone();
     std::thread::spawn(move || {
@@ -45,13 +43,23 @@
         println!("given up after {LONGEST_S} s");
         std::process::exit(2);
     });
+    if case == "restarted-rack" {
+        // The workers are up before the controllers, so they are in their second session by then.
+        for _ in 0..RACK_FLEET {
+            deployment.fleet.add("edge-small", "amman-north");
+        }
+        sleep(10.5);
+    }
+    for n in 0..deployment.cluster.names.len() {
+        if !deployment.cluster.start(n) {
+            deployment.cluster.end_all();
+            return Err("a controller did not start; is the release build there?".into());
+        }
+    }
     let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| play(&deployment)));
     let outcome = played.unwrap_or_else(|_| Err("a stand-in panicked".into()));
     let all_run = deployment.cluster.all_run();
     deployment.cluster.end_all();
-    if std::env::var("KEEP").is_err() {
-        let _ = std::fs::remove_dir_all(&deployment.work);
-    }
     match &outcome {
         Ok(Some(broken)) => deployment.record.line(format!("BROKEN {broken}")),
         Ok(None) => deployment.record.line("the rule held"),
@@ -73,57 +81,27 @@
 ) -> Result<Deployment, String> {
     let record = Record::create(&folder.join("record.txt")).map_err(|e| e.to_string())?;
     record.line(format!("site {}, trouble: {trouble}", site.name));
-    let work = std::env::temp_dir().join(format!("foxspur-review-2-{}", std::process::id()));
-    std::fs::create_dir_all(&work).map_err(|e| e.to_string())?;
+    // `run.sh` names a temporary folder, and removes it.
+    let work = std::env::temp_dir();
     let nodes = 3;
     let addrs = free_addrs(2 * nodes);
     let (fronts, meshes) = (addrs[..nodes].to_vec(), addrs[nodes..].to_vec());
     let controllers = (0..nodes).map(|n| (format!("berth-{n}"), fronts[n]));
     let fleet = Fleet::new(flavors, times, controllers.collect(), record.clone());
     let state = State::new();
-    let link_to = |from: usize| {
-        let links = meshes.iter().enumerate();
-        let links = links.map(|(to, mesh)| {
-            if to == from {
-                None
-            } else {
-                Some(Link::to(*mesh))
-            }
-        });
-        links.collect::<Vec<_>>()
-    };
-    let all_links: Vec<Vec<Option<Link>>> = (0..nodes).map(link_to).collect();
-    let addrs = |links: &Vec<Option<Link>>| {
-        let addrs = links.iter().enumerate();
-        addrs
-            .map(|(to, link)| link.as_ref().map_or(meshes[to], |l| l.addr))
-            .collect()
-    };
     let places = Places {
         fronts,
-        links: all_links.iter().map(addrs).collect(),
         meshes,
         state: (0..nodes).map(|n| state.serve(n)).collect(),
         cloud: fleet.serve_cloud(),
     };
     let cluster = Cluster::new(root, &work, &site, &places, record.clone());
     let cluster = cluster.ok_or("no deploy file, or no settings could be written")?;
-    for n in 0..nodes {
-        if !cluster.start(n) {
-            cluster.end_all();
-            return Err("a controller did not start; is the release build there?".into());
-        }
-    }
     Ok(Deployment {
         cluster,
         fleet,
         state,
-        links: all_links
-            .into_iter()
-            .map(|links| links.into_iter().flatten().collect())
-            .collect(),
         record,
-        work,
         trouble,
     })
 }
@@ -178,27 +156,6 @@
     }
 }
 
-impl Deployment {
-    /// Cuts a controller off from the state service and from the other controllers, in both
-    /// directions, or ends that. Its workers and users still reach it.
-    fn cut_off(&self, controller: usize, cut: bool) {
-        self.state.cut(controller, cut);
-        for (from, links) in self.links.iter().enumerate() {
-            let others = (0..self.links.len()).filter(|to| *to != from);
-            for (link, to) in links.iter().zip(others) {
-                if from == controller || to == controller {
-                    link.set_cut(cut);
-                }
-            }
-        }
-        let what = if cut { "loses" } else { "has again" };
-        let name = &self.cluster.names[controller];
-        self.record.line(format!(
-            "{name} {what} the state service and the other controllers"
-        ));
-    }
-}
-
 /// Fills two machines with a job of two long tasks, and submits a second job, which has to wait.
 /// Returns the leader and another controller.
 fn fill_and_wait(d: &Deployment) -> Result<(usize, usize), String> {
@@ -251,32 +208,6 @@
     (!late.is_empty()).then(|| late.join("; "))
 }
 
-/// The leader loses the state service and the other controllers. Then a user cancels a waiting job
-/// through another controller, and after the answer a task of another job completes. Nobody may
-/// start a task of the cancelled job on the machine.
-fn cut_leader(d: &Deployment) -> Outcome {
-    let (leader, other) = fill_and_wait(d)?;
-    if d.trouble {
-        d.cut_off(leader, true);
-    }
-    sleep(1.0);
-    let Some((told_at, status)) = d.cancel("run-000002", other) else {
-        return Err("the cancellation was not confirmed".into());
-    };
-    if status != "withdrawn" {
-        return Err(format!("the cancellation was answered {status}"));
-    }
-    sleep(1.0);
-    if !d.fleet.complete("run-000001/0") {
-        return Err("the task was gone".into());
-    }
-    sleep(14.0);
-    if d.trouble {
-        d.cut_off(leader, false);
-    }
-    Ok(started_after(d, "run-000002", told_at))
-}
-
 /// The leader stands still for seconds. Meanwhile a task completes, and a user cancels a waiting job
 /// through another controller. When the leader goes on, it must not start the cancelled job.
 fn frozen_leader(d: &Deployment) -> Outcome {
@@ -418,3 +349,81 @@
     };
     Ok(d.left_waiting(waiting, &[room]))
 }
+
+/// How many machines are up, and how many of them restart together.
+const RACK_FLEET: usize = 10;
+const RACK: usize = 6;
+
+/// The rack: this machine and others that were last heard shortly before and after it. The leader returns a
+/// machine that is silent alone to the cloud, which proves it empty, so this one must be neither the
+/// first nor the last of the rack to fall silent. Waits for such a moment.
+fn rack_around(d: &Deployment, first: &String) -> Result<Vec<String>, String> {
+    let mut rack = Vec::new();
+    wait("a moment in the middle of the reports", 10.0, || {
+        let hosts = d.fleet.by_last_report();
+        let at = hosts.iter().position(|host| host == first);
+        rack = match at {
+            Some(at) if at >= RACK / 2 && at + RACK / 2 <= hosts.len() => {
+                hosts[at - RACK / 2..at + RACK / 2].to_vec()
+            }
+            _ => Vec::new(),
+        };
+        !rack.is_empty()
+    })?;
+    Ok(rack)
+}
+
+/// A rack restarts and has no network at first. Its tasks start elsewhere once its leases have ended.
+/// Then a late copy arrives of the direct call that had started a task there.
+fn restarted_rack(d: &Deployment) -> Outcome {
+    d.steward()?;
+    let task = "run-000001/0";
+    let job = Job {
+        queue: "reminder-fanout",
+        owner: "gateway-ops",
+        cpus: 2.0,
+        memory_gb: 3.5,
+        ..Job::points("run-000001", 1)
+    };
+    sleep(3.0);
+    d.submit(&job, 0)?;
+    wait("the task", 20.0, || d.runs(task))?;
+    let first = d.fleet.running()[0].1.clone();
+    sleep(2.0);
+    if d.fleet.tenure(&first) != 2 {
+        return Err("the machine is not in its second session".into());
+    }
+    if !d.fleet.was_called(&first, task) {
+        return Err("the task was not started by a direct call".into());
+    }
+    if d.trouble {
+        for host in rack_around(d, &first)? {
+            d.fleet.restart(&host);
+            d.fleet.cut(&host, 12.5);
+        }
+    }
+    sleep(12.6);
+    d.fleet.repeat_call(&first, task);
+    Ok(runs_twice(d, task))
+}
+
+/// Watches for ten seconds whether the task runs on two machines at a time.
+fn runs_twice(d: &Deployment, task: &str) -> Option<String> {
+    let began = Instant::now();
+    while began.elapsed().as_secs_f64() < 10.0 {
+        let running = d.fleet.running();
+        let hosts: Vec<&str> = running
+            .iter()
+            .filter(|(name, _)| name == task)
+            .map(|(_, host)| host.as_str())
+            .collect();
+        if hosts.len() > 1 {
+            let line = format!("{task} runs on {} at a time", hosts.join(" and "));
+            d.record.line(&line);
+            sleep(8.0);
+            return Some(line);
+        }
+        sleep(0.02);
+    }
+    None
+}
--- a/review/stand-ins-2/cluster.rs
+++ b/review/stand-ins-2/cluster.rs
@@ -62,8 +62,6 @@
 pub struct Places {
     pub fronts: Vec<SocketAddr>,
     pub meshes: Vec<SocketAddr>,
-    /// For each controller, the addresses at which it reaches the other ones.
-    pub links: Vec<Vec<SocketAddr>>,
     pub state: Vec<SocketAddr>,
     pub cloud: SocketAddr,
 }
@@ -94,7 +92,7 @@
                 text += &format!(
                     "[[peers]]\nhost_name = \"{name}\"\nsite = \"{}\"\naddr = \"{}\"\n\n",
                     zone(other),
-                    places.links[n][other]
+                    places.meshes[other]
                 );
             }
             text += &format!(
--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -71,6 +71,7 @@
     tasks: BTreeMap<(String, u64), Task>,
     images: HashSet<String>,
     changed: bool,
+    reported_at: Instant,
     /// The machine stands still until then.
     hung_until: Instant,
     /// Answers and direct calls do not reach the machine until then.
@@ -79,6 +80,19 @@
     mute_until: Instant,
     /// The machine fails every task that it starts.
     sick: bool,
+    /// The direct calls that the machine has carried out.
+    carried_out: Vec<Json>,
+}
+
+impl Machine {
+    /// The direct call that started this task here.
+    fn call_with(&self, task: &str) -> Option<&Json> {
+        let starts = |call: &&Json| {
+            let orders = call.arr("orders");
+            orders.iter().any(|order| order.str("shard") == Some(task))
+        };
+        self.carried_out.iter().find(starts)
+    }
 }
 
 pub struct Times {
@@ -201,10 +215,12 @@
                 tasks: BTreeMap::new(),
                 images: HashSet::new(),
                 changed: true,
+                reported_at: now,
                 hung_until: now,
                 deaf_until: now,
                 mute_until: now,
                 sick,
+                carried_out: Vec::new(),
             },
         );
         drop(machines);
@@ -286,6 +302,89 @@
         }
     }
 
+    /// Restarts a machine, which is back at once. Its tasks and images are gone, its worker counts its
+    /// sessions from 1, and keeps the highest token that it has seen.
+    pub fn restart(&self, host: &str) {
+        let mut machines = self.machines();
+        let Some(machine) = machines.get_mut(host) else {
+            return;
+        };
+        for ((task, attempt), state) in std::mem::take(&mut machine.tasks) {
+            if !matches!(state.phase, Phase::Exited(..)) {
+                self.ended(machine, &task, attempt, "machine restarted");
+            }
+        }
+        machine.images.clear();
+        machine.tenure = 1;
+        machine.serial = 0;
+        machine.lease_from = Instant::now();
+        machine.changed = true;
+        self.0
+            .record
+            .line(format!("{host} restarts, epoch {}", machine.epoch));
+    }
+
+    /// The machine loses the network.
+    pub fn cut(&self, host: &str, for_s: f64) {
+        self.deafen(host, for_s);
+        self.mute(host, for_s);
+        self.0
+            .record
+            .line(format!("{host} loses the network for {for_s} s"));
+    }
+
+    /// A copy of the direct call that started this task arrives at the machine once more.
+    pub fn repeat_call(&self, host: &str, task: &str) {
+        let mut machines = self.machines();
+        let Some(machine) = machines.get_mut(host) else {
+            return;
+        };
+        if !machine.up {
+            return;
+        }
+        self.advance(machine);
+        let Some(call) = machine.call_with(task).cloned() else {
+            return;
+        };
+        let (epoch, tenure) = (
+            call.u64("epoch").unwrap_or(0),
+            call.u64("tenure").unwrap_or(0),
+        );
+        let valid = epoch >= machine.epoch && tenure == machine.tenure;
+        let line = format!(
+            "{host} gets a late copy of a direct call with epoch {epoch}, tenure {tenure}; it is in tenure {} and has seen epoch {}: {}",
+            machine.tenure,
+            machine.epoch,
+            if valid { "carried out" } else { "409" }
+        );
+        self.0.record.line(line);
+        if valid {
+            self.execute(machine, call.arr("orders"), "late copy");
+        }
+    }
+
+    /// The machines that are up, in the order of their last reports.
+    pub fn by_last_report(&self) -> Vec<String> {
+        let machines = self.machines();
+        let mut up: Vec<&Machine> = machines.values().filter(|m| m.up).collect();
+        up.sort_by_key(|machine| machine.reported_at);
+        up.iter().map(|machine| machine.host.clone()).collect()
+    }
+
+    /// Whether a direct call started this task there.
+    pub fn was_called(&self, host: &str, task: &str) -> bool {
+        let machines = self.machines();
+        let machine = machines.get(host);
+        machine.is_some_and(|machine| machine.call_with(task).is_some())
+    }
+
+    /// The session of a machine.
+    pub fn tenure(&self, host: &str) -> u64 {
+        self.machines()
+            .get(host)
+            .map_or(0, |machine| machine.tenure)
+    }
+
     /// Ends the lease and the tasks that are due.
     fn advance(&self, machine: &mut Machine) {
         let now = Instant::now();
@@ -424,6 +523,7 @@
                     continue;
                 }
                 machine.changed = false;
+                machine.reported_at = now;
                 (self.report(machine).to_string(), machine.tenure)
             };
             last_sent = now;
@@ -550,6 +650,7 @@
                 machine.changed = true;
             }
             self.execute(machine, body.arr("orders"), "direct call");
+            machine.carried_out.push(body);
             return Some((200, self.report(machine).to_string()));
         }
     }
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -12,7 +12,6 @@
 mod fleet;
 mod http;
 mod json;
-mod link;
 mod record;
 mod site;
 mod state;
--- a/review/stand-ins-2/state.rs
+++ b/review/stand-ins-2/state.rs
@@ -29,8 +29,6 @@
     log: Vec<(u64, String, Option<Json>)>,
     outage_until: Option<Instant>,
     refused: Vec<usize>,
-    /// Controllers that are cut off: their requests do not arrive.
-    cut: Vec<usize>,
     /// Delay of all answers to a controller.
     slow: HashMap<usize, Duration>,
 }
@@ -77,15 +75,6 @@
         }
     }
 
-    /// From now on requests of this controller do not arrive and get no answer, or they do again.
-    pub fn cut(&self, controller: usize, cut: bool) {
-        let mut store = self.lock();
-        store.cut.retain(|other| *other != controller);
-        if cut {
-            store.cut.push(controller);
-        }
-    }
-
     pub fn outage(&self, for_s: f64) {
         self.lock().outage_until = Some(Instant::now() + Duration::from_secs_f64(for_s));
     }
@@ -121,14 +110,6 @@
     }
 
     fn answer(&self, controller: usize, request: Request) -> Reply {
-        let mut arrived = true;
-        while self.lock().cut.contains(&controller) {
-            arrived = false;
-            std::thread::sleep(Duration::from_millis(20));
-        }
-        if !arrived {
-            return None;
-        }
         let pause = self.lock().slow.get(&controller).copied();
         let reply = self.answer_now(controller, request);
         if let Some(pause) = pause {
@@ -174,7 +155,7 @@
         }
         loop {
             let now = Instant::now();
-            if store.serves(controller) && !store.cut.contains(&controller) {
+            if store.serves(controller) {
                 let log = store.log.iter();
                 let news = log.filter(|(at, key, _)| *at > since && key.starts_with(&under));
                 let news: Vec<Json> = news
