Review: the next leader starts a task again that a former leader's late call starts too

Cause: a leader knows none of its predecessors' calls, and takes a machine that it never reached for empty once the leases have ended. A machine that restarted unheard accepts the former leader's call when its sessions reach that number.

Nothing is fixed.

--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -26,13 +26,14 @@
 pub fn run(case: &str, root: &Path, folder: &Path, trouble: bool) -> Outcome {
     let play: fn(&Deployment) -> Outcome = match case {
         "avoided-machine" => avoided_machine,
+        "former-leader" => former_leader,
         "frozen-leader" => frozen_leader,
         "restarted-rack" => restarted_rack,
         "suspect-service" => suspect_service,
         _ => return Err(format!("no case {case}")),
     };
     let (site, times, flavors) = match case {
-        "restarted-rack" => site::amman(),
+        "former-leader" | "restarted-rack" => site::amman(),
         _ => site::riga(),
     };
     let deployment = deploy(root, folder, site, times, flavors, trouble)?;
@@ -43,12 +44,17 @@
         println!("given up after {LONGEST_S} s");
         std::process::exit(2);
     });
-    if case == "restarted-rack" {
-        // The workers are up before the controllers, so they are in their second session by then.
+    // Workers that are up before the controllers are in a later session by then.
+    let earlier_sessions = match case {
+        "former-leader" => 2,
+        "restarted-rack" => 1,
+        _ => 0,
+    };
+    if earlier_sessions > 0 {
         for _ in 0..RACK_FLEET {
             deployment.fleet.add("edge-small", "amman-north");
         }
-        sleep(10.5);
+        sleep(10.0 * f64::from(earlier_sessions) + 0.5);
     }
     for n in 0..deployment.cluster.names.len() {
         if !deployment.cluster.start(n) {
@@ -373,11 +379,9 @@
     Ok(rack)
 }
 
-/// A rack restarts and has no network at first. Its tasks start elsewhere once its leases have ended.
-/// Then a late copy arrives of the direct call that had started a task there.
-fn restarted_rack(d: &Deployment) -> Outcome {
+/// Runs one task on a fleet whose machines are in this session. Returns the machine of the task.
+fn one_task(d: &Deployment, task: &str, session: u64) -> Result<String, String> {
     d.steward()?;
-    let task = "run-000001/0";
     let job = Job {
         queue: "reminder-fanout",
         owner: "gateway-ops",
@@ -390,12 +394,20 @@
     wait("the task", 20.0, || d.runs(task))?;
     let first = d.fleet.running()[0].1.clone();
     sleep(2.0);
-    if d.fleet.tenure(&first) != 2 {
-        return Err("the machine is not in its second session".into());
+    if d.fleet.tenure(&first) != session {
+        return Err(format!("the machine is not in session {session}"));
     }
     if !d.fleet.was_called(&first, task) {
         return Err("the task was not started by a direct call".into());
     }
+    Ok(first)
+}
+
+/// A rack restarts and has no network at first. Its tasks start elsewhere once its leases have ended.
+/// Then a late copy arrives of the direct call that had started a task there.
+fn restarted_rack(d: &Deployment) -> Outcome {
+    let task = "run-000001/0";
+    let first = one_task(d, task, 2)?;
     if d.trouble {
         for host in rack_around(d, &first)? {
             d.fleet.restart(&host);
@@ -407,6 +419,39 @@
     Ok(runs_twice(d, task))
 }
 
+/// A rack restarts and has no network at first, and the leader ends, and is back after 8 s. The next leader
+/// starts its tasks elsewhere. When the network is back, a late copy arrives of the former leader's direct call.
+fn former_leader(d: &Deployment) -> Outcome {
+    let task = "run-000001/0";
+    let session = 3;
+    let first = one_task(d, task, session)?;
+    if d.trouble {
+        let leader = d.steward()?;
+        for host in rack_around(d, &first)? {
+            d.fleet.restart(&host);
+            d.fleet.cut(&host, 30.0);
+        }
+        d.cluster.end(leader);
+        sleep(8.0);
+        if !d.cluster.start(leader) {
+            return Err("the controller did not start again".into());
+        }
+    }
+    let runs_elsewhere = |(name, host): &(String, String)| name == task && *host != first;
+    let began = Instant::now();
+    while began.elapsed().as_secs_f64() < 20.0 {
+        let elsewhere = d.fleet.running().iter().any(runs_elsewhere);
+        if elsewhere && d.fleet.tenure(&first) >= session {
+            break;
+        }
+        sleep(0.1);
+    }
+    sleep(0.5);
+    d.fleet.cut(&first, 0.0);
+    d.fleet.repeat_call(&first, task);
+    Ok(runs_twice(d, task))
+}
+
 /// Watches for ten seconds whether the task runs on two machines at a time.
 fn runs_twice(d: &Deployment, task: &str) -> Option<String> {
     let began = Instant::now();
--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -328,9 +328,10 @@
     pub fn cut(&self, host: &str, for_s: f64) {
         self.deafen(host, for_s);
         self.mute(host, for_s);
-        self.0
-            .record
-            .line(format!("{host} loses the network for {for_s} s"));
+        self.0.record.line(match for_s > 0.0 {
+            true => format!("{host} loses the network for {for_s} s"),
+            false => format!("{host} has the network back"),
+        });
     }
 
     /// A copy of the direct call that started this task arrives at the machine once more.
