--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -26,14 +26,13 @@
 pub fn run(case: &str, root: &Path, folder: &Path, trouble: bool) -> Outcome {
     let play: fn(&Deployment) -> Outcome = match case {
         "avoided-machine" => avoided_machine,
-        "former-leader" => former_leader,
         "frozen-leader" => frozen_leader,
         "restarted-rack" => restarted_rack,
         "suspect-service" => suspect_service,
         _ => return Err(format!("no case {case}")),
     };
     let (site, times, flavors) = match case {
-        "former-leader" | "restarted-rack" => site::amman(),
+        "restarted-rack" => site::amman(),
         _ => site::riga(),
     };
     let deployment = deploy(root, folder, site, times, flavors, trouble)?;
@@ -44,17 +43,12 @@
         println!("given up after {LONGEST_S} s");
         std::process::exit(2);
     });
-    // Workers that are up before the controllers are in a later session by then.
-    let earlier_sessions = match case {
-        "former-leader" => 2,
-        "restarted-rack" => 1,
-        _ => 0,
-    };
-    if earlier_sessions > 0 {
+    if case == "restarted-rack" {
+        // The workers are up before the controllers, so they are in their second session by then.
         for _ in 0..RACK_FLEET {
             deployment.fleet.add("edge-small", "amman-north");
         }
-        sleep(10.0 * f64::from(earlier_sessions) + 0.5);
+        sleep(10.5);
     }
     for n in 0..deployment.cluster.names.len() {
         if !deployment.cluster.start(n) {
@@ -264,7 +258,9 @@
         let began = Instant::now();
         let is_idle = |host: &String| self.fleet.idle().iter().any(|(name, _)| name == host);
         while began.elapsed().as_secs_f64() < LONGEST_WAIT_S {
-            if self.runs(task) || !room.iter().any(is_idle) {
+            let ends = self.fleet.ends();
+            let done = ends.iter().any(|end| end.1 == task && end.4 == "done");
+            if done || self.runs(task) || !room.iter().any(is_idle) {
                 return None;
             }
             sleep(0.2);
@@ -282,20 +278,33 @@
 }
 
 /// One machine fails the tasks that it starts, for some seconds. It is the only one with room, then
-/// and afterwards. A job that failed there must start there once the trouble is over.
+/// and afterwards. A job that failed there must start there once the trouble is over. With this
+/// machine the deployment is at its full capacity, so the cloud has no more.
 fn avoided_machine(d: &Deployment) -> Outcome {
-    d.fleet.add("till-node", "riga-left-bank");
-    d.fleet.add("till-node", "riga-right-bank");
+    for n in 0..24 {
+        let site = ["riga-left-bank", "riga-right-bank"][n % 2];
+        d.fleet.add("till-node", site);
+    }
+    for (site, count) in [
+        ("valmiera-dr", 2),
+        ("riga-left-bank", 2),
+        ("riga-right-bank", 3),
+    ] {
+        for _ in 0..count {
+            d.fleet.add("ledger-node", site);
+        }
+    }
     d.steward()?;
-    d.submit(&Job::service("run-000001", "platform-core", 2), 0)?;
-    wait("the service", 30.0, || d.running_of("run-000001") == 2)?;
+    d.submit(&Job::service("run-000001", "platform-core", 34), 0)?;
+    d.submit(&Job::service("run-000003", "airline-team", 18), 0)?;
+    wait("the services", 40.0, || {
+        d.running_of("run-000001") == 34 && d.running_of("run-000003") == 18
+    })?;
     let large = if d.trouble {
         d.fleet.add_sick("ledger-node", "riga-left-bank")
     } else {
         d.fleet.add("ledger-node", "riga-left-bank")
     };
-    // The cloud has more machines, if one is asked for.
-    d.fleet.stock(4);
     sleep(4.0);
     let job = Job {
         run_s: 3.0,
@@ -313,18 +322,20 @@
     Ok(d.left_waiting("run-000002/0", &[large]))
 }
 
-/// Three of 64 machines fail the tasks that they start, for some seconds, and one of two replicas of
+/// Three of 65 machines fail the tasks that they start, for some seconds, and one of two replicas of
 /// a service fails on each of them. Once the trouble is over it must start on a machine with room.
 fn suspect_service(d: &Deployment) -> Outcome {
-    for n in 0..61 {
+    for n in 0..62 {
         let site = ["riga-left-bank", "riga-right-bank"][n % 2];
         d.fleet.add("till-node", site);
     }
     d.steward()?;
     d.submit(&Job::service("run-000001", "platform-core", 34), 0)?;
     d.submit(&Job::service("run-000002", "grocer-team", 26), 0)?;
+    d.submit(&Job::service("run-000004", "fuel-team", 1), 0)?;
     wait("the other services", 40.0, || {
-        d.running_of("run-000001") == 34 && d.running_of("run-000002") == 26
+        let running = ["run-000001", "run-000002", "run-000004"].map(|job| d.running_of(job));
+        running == [34, 26, 1]
     })?;
     d.submit(&Job::service("run-000003", "airline-team", 2), 1)?;
     wait("the first replica", 20.0, || {
@@ -356,25 +367,17 @@
     Ok(d.left_waiting(waiting, &[room]))
 }
 
-/// How many machines are up, and how many of them restart together.
-const RACK_FLEET: usize = 10;
-const RACK: usize = 6;
+/// How many machines are up; two of them restart together.
+const RACK_FLEET: usize = 13;
 
-/// The rack: this machine and others that were last heard shortly before and after it. The leader returns a
-/// machine that is silent alone to the cloud, which proves it empty, so this one must be neither the
-/// first nor the last of the rack to fall silent. Waits for such a moment.
-fn rack_around(d: &Deployment, first: &String) -> Result<Vec<String>, String> {
+/// The rack: this machine and the one that was last heard shortly after it. The leader returns a machine that
+/// is silent alone to the cloud, which proves it empty, so both must fall silent at about the same time.
+/// Waits for such a moment.
+fn rack_with(d: &Deployment, first: &String) -> Result<Vec<String>, String> {
     let mut rack = Vec::new();
-    wait("a moment in the middle of the reports", 10.0, || {
-        let hosts = d.fleet.by_last_report();
-        let at = hosts.iter().position(|host| host == first);
-        rack = match at {
-            Some(at) if at >= RACK / 2 && at + RACK / 2 <= hosts.len() => {
-                hosts[at - RACK / 2..at + RACK / 2].to_vec()
-            }
-            _ => Vec::new(),
-        };
-        !rack.is_empty()
+    wait("two machines heard shortly after each other", 20.0, || {
+        rack = d.fleet.heard_within(first, Duration::from_millis(50));
+        rack.len() == 2
     })?;
     Ok(rack)
 }
@@ -409,7 +412,7 @@
     let task = "run-000001/0";
     let first = one_task(d, task, 2)?;
     if d.trouble {
-        for host in rack_around(d, &first)? {
+        for host in rack_with(d, &first)? {
             d.fleet.restart(&host);
             d.fleet.cut(&host, 12.5);
         }
@@ -419,39 +422,6 @@
     Ok(runs_twice(d, task))
 }
 
-/// A rack restarts and has no network at first, and the leader ends, and is back after 8 s. The next leader
-/// starts its tasks elsewhere. When the network is back, a late copy arrives of the former leader's direct call.
-fn former_leader(d: &Deployment) -> Outcome {
-    let task = "run-000001/0";
-    let session = 3;
-    let first = one_task(d, task, session)?;
-    if d.trouble {
-        let leader = d.steward()?;
-        for host in rack_around(d, &first)? {
-            d.fleet.restart(&host);
-            d.fleet.cut(&host, 30.0);
-        }
-        d.cluster.end(leader);
-        sleep(8.0);
-        if !d.cluster.start(leader) {
-            return Err("the controller did not start again".into());
-        }
-    }
-    let runs_elsewhere = |(name, host): &(String, String)| name == task && *host != first;
-    let began = Instant::now();
-    while began.elapsed().as_secs_f64() < 20.0 {
-        let elsewhere = d.fleet.running().iter().any(runs_elsewhere);
-        if elsewhere && d.fleet.tenure(&first) >= session {
-            break;
-        }
-        sleep(0.1);
-    }
-    sleep(0.5);
-    d.fleet.cut(&first, 0.0);
-    d.fleet.repeat_call(&first, task);
-    Ok(runs_twice(d, task))
-}
-
 /// Watches for ten seconds whether the task runs on two machines at a time.
 fn runs_twice(d: &Deployment, task: &str) -> Option<String> {
     let began = Instant::now();
--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -364,12 +364,17 @@
         }
     }
 
-    /// The machines that are up, in the order of their last reports.
-    pub fn by_last_report(&self) -> Vec<String> {
+    /// This machine, and the next one that sent a report after its last one, if that was within `gap`.
+    pub fn heard_within(&self, host: &str, gap: Duration) -> Vec<String> {
         let machines = self.machines();
-        let mut up: Vec<&Machine> = machines.values().filter(|m| m.up).collect();
-        up.sort_by_key(|machine| machine.reported_at);
-        up.iter().map(|machine| machine.host.clone()).collect()
+        let Some(from) = machines.get(host).map(|machine| machine.reported_at) else {
+            return Vec::new();
+        };
+        let later = machines.values().filter(|m| m.up && m.reported_at > from);
+        let next = later.min_by_key(|machine| machine.reported_at);
+        let next = next.filter(|machine| machine.reported_at - from <= gap);
+        let hosts = next.map(|machine| vec![host.to_string(), machine.host.clone()]);
+        hosts.unwrap_or_default()
     }
 
     /// Whether a direct call started this task there.
