--- /dev/null
+++ b/review/stand-ins-2/cases.rs
@@ -0,0 +1,302 @@
+//! The cases. Each returns what broke the rule, or nothing if it held.
+
+use crate::cluster::{free_addrs, Cluster, Places, Site};
+use crate::fleet::{Flavor, Fleet, Times};
+use crate::json::Json;
+use crate::link::Link;
+use crate::record::Record;
+use crate::site::{self, Job};
+use crate::state::State;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+type Outcome = Result<Option<String>, String>;
+
+/// How long a case may take, in seconds, before it is given up.
+const LONGEST_S: u64 = 110;
+
+/// A running deployment.
+struct Deployment {
+    cluster: Cluster,
+    fleet: Fleet,
+    state: State,
+    /// For each controller, its links to all others.
+    links: Vec<Vec<Link>>,
+    record: Record,
+    /// Folder of the settings files and the controllers' logs.
+    work: PathBuf,
+    trouble: bool,
+}
+
+pub fn run(case: &str, root: &Path, folder: &Path, trouble: bool) -> Outcome {
+    let play: fn(&Deployment) -> Outcome = match case {
+        "cut-leader" => cut_leader,
+        "frozen-leader" => frozen_leader,
+        _ => return Err(format!("no case {case}")),
+    };
+    let (site, times, flavors) = site::riga();
+    let deployment = deploy(root, folder, site, times, flavors, trouble)?;
+    let watched = deployment.cluster.clone();
+    std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_secs(LONGEST_S));
+        watched.end_all();
+        println!("given up after {LONGEST_S} s");
+        std::process::exit(2);
+    });
+    let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| play(&deployment)));
+    let outcome = played.unwrap_or_else(|_| Err("a stand-in panicked".into()));
+    let all_run = deployment.cluster.all_run();
+    deployment.cluster.end_all();
+    if std::env::var("KEEP").is_err() {
+        let _ = std::fs::remove_dir_all(&deployment.work);
+    }
+    match &outcome {
+        Ok(Some(broken)) => deployment.record.line(format!("BROKEN {broken}")),
+        Ok(None) => deployment.record.line("the rule held"),
+        Err(why) => deployment.record.line(format!("could not run: {why}")),
+    }
+    if !all_run {
+        return Err("a controller ended by itself".into());
+    }
+    outcome
+}
+
+fn deploy(
+    root: &Path,
+    folder: &Path,
+    site: Site,
+    times: Times,
+    flavors: Vec<Flavor>,
+    trouble: bool,
+) -> Result<Deployment, String> {
+    let record = Record::create(&folder.join("record.txt")).map_err(|e| e.to_string())?;
+    record.line(format!("site {}, trouble: {trouble}", site.name));
+    let work = std::env::temp_dir().join(format!("foxspur-review-2-{}", std::process::id()));
+    std::fs::create_dir_all(&work).map_err(|e| e.to_string())?;
+    let nodes = 3;
+    let addrs = free_addrs(2 * nodes);
+    let (fronts, meshes) = (addrs[..nodes].to_vec(), addrs[nodes..].to_vec());
+    let controllers = (0..nodes).map(|n| (format!("berth-{n}"), fronts[n]));
+    let fleet = Fleet::new(flavors, times, controllers.collect(), record.clone());
+    let state = State::new();
+    let link_to = |from: usize| {
+        let links = meshes.iter().enumerate();
+        let links = links.map(|(to, mesh)| {
+            if to == from {
+                None
+            } else {
+                Some(Link::to(*mesh))
+            }
+        });
+        links.collect::<Vec<_>>()
+    };
+    let all_links: Vec<Vec<Option<Link>>> = (0..nodes).map(link_to).collect();
+    let addrs = |links: &Vec<Option<Link>>| {
+        let addrs = links.iter().enumerate();
+        addrs
+            .map(|(to, link)| link.as_ref().map_or(meshes[to], |l| l.addr))
+            .collect()
+    };
+    let places = Places {
+        fronts,
+        links: all_links.iter().map(addrs).collect(),
+        meshes,
+        state: (0..nodes).map(|n| state.serve(n)).collect(),
+        cloud: fleet.serve_cloud(),
+    };
+    let cluster = Cluster::new(root, &work, &site, &places, record.clone());
+    let cluster = cluster.ok_or("no deploy file, or no settings could be written")?;
+    for n in 0..nodes {
+        if !cluster.start(n) {
+            cluster.end_all();
+            return Err("a controller did not start; is the release build there?".into());
+        }
+    }
+    Ok(Deployment {
+        cluster,
+        fleet,
+        state,
+        links: all_links
+            .into_iter()
+            .map(|links| links.into_iter().flatten().collect())
+            .collect(),
+        record,
+        work,
+        trouble,
+    })
+}
+
+fn sleep(seconds: f64) {
+    std::thread::sleep(Duration::from_secs_f64(seconds));
+}
+
+/// Waits until `is_so`, at most for `most_s`.
+fn wait(what: &str, most_s: f64, mut is_so: impl FnMut() -> bool) -> Result<(), String> {
+    let end = Instant::now() + Duration::from_secs_f64(most_s);
+    while !is_so() {
+        if Instant::now() > end {
+            return Err(format!("waited in vain for: {what}"));
+        }
+        sleep(0.02);
+    }
+    Ok(())
+}
+
+impl Deployment {
+    /// Submits a job as a user does: repeats the request until it is accepted.
+    fn submit(&self, job: &Job, at: usize) -> Result<(), String> {
+        self.fleet.upload(job.id, job.description());
+        let mut next = Instant::now();
+        wait("acceptance", 30.0, || {
+            if Instant::now() < next {
+                return false;
+            }
+            next = Instant::now() + Duration::from_secs(1);
+            let reply = self.cluster.ask(at, "POST", "/work", &job.body(), 5.0);
+            matches!(reply, Some((200 | 201, _)))
+        })
+    }
+
+    /// Cancels a job at a controller. Returns when the answer arrived, and the status in it.
+    fn cancel(&self, job: &str, at: usize) -> Option<(f64, String)> {
+        let path = format!("/work/{job}/cancel");
+        let (status, body) = self.cluster.ask(at, "POST", &path, "", 5.0)?;
+        let state = Json::parse(&body)?.str("status")?.to_string();
+        (status == 200).then(|| (self.record.now(), state))
+    }
+
+    fn runs(&self, task: &str) -> bool {
+        self.fleet.running().iter().any(|(name, _)| name == task)
+    }
+
+    /// Waits until a controller answers reports, and returns its index.
+    fn steward(&self) -> Result<usize, String> {
+        wait("a leader", 30.0, || self.fleet.steward().is_some())?;
+        self.fleet.steward().ok_or_else(|| "no leader".into())
+    }
+}
+
+impl Deployment {
+    /// Cuts a controller off from the state service and from the other controllers, in both
+    /// directions, or ends that. Its workers and users still reach it.
+    fn cut_off(&self, controller: usize, cut: bool) {
+        self.state.cut(controller, cut);
+        for (from, links) in self.links.iter().enumerate() {
+            let others = (0..self.links.len()).filter(|to| *to != from);
+            for (link, to) in links.iter().zip(others) {
+                if from == controller || to == controller {
+                    link.set_cut(cut);
+                }
+            }
+        }
+        let what = if cut { "loses" } else { "has again" };
+        let name = &self.cluster.names[controller];
+        self.record.line(format!(
+            "{name} {what} the state service and the other controllers"
+        ));
+    }
+}
+
+/// Fills two machines with a job of two long tasks, and submits a second job, which has to wait.
+/// Returns the leader and another controller.
+fn fill_and_wait(d: &Deployment) -> Result<(usize, usize), String> {
+    d.fleet.add("till-node", "riga-left-bank");
+    d.fleet.add("till-node", "riga-right-bank");
+    d.steward()?;
+    d.submit(&Job::points("run-000001", 2), 0)?;
+    wait("both tasks of the first job", 40.0, || {
+        d.runs("run-000001/0") && d.runs("run-000001/1")
+    })?;
+    let leader = d.steward()?;
+    let other = (leader + 1) % 3;
+    let second = Job {
+        run_s: 3.0,
+        ..Job::points("run-000002", 2)
+    };
+    d.submit(&second, other)?;
+    sleep(5.0);
+    if d.fleet
+        .starts()
+        .iter()
+        .any(|s| s.task.starts_with("run-000002/"))
+    {
+        return Err("the second job did not wait".into());
+    }
+    Ok((leader, other))
+}
+
+/// The starts of a job's tasks that were ordered after this time, and how each ended.
+fn started_after(d: &Deployment, job: &str, told_at: f64) -> Option<String> {
+    let ends = d.fleet.ends();
+    let mut late = Vec::new();
+    for start in d.fleet.starts() {
+        if !start.task.starts_with(&format!("{job}/")) || start.at <= told_at {
+            continue;
+        }
+        let end = ends
+            .iter()
+            .find(|end| end.1 == start.task && end.2 == start.attempt);
+        let end = end.map_or("still runs".to_string(), |end| {
+            format!("{} after {:.2} s", end.4, end.0 - start.at)
+        });
+        late.push(format!(
+            "{} started on {} {:.2} s after its user was told `withdrawn`: {end}",
+            start.task,
+            start.host,
+            start.at - told_at
+        ));
+    }
+    (!late.is_empty()).then(|| late.join("; "))
+}
+
+/// The leader loses the state service and the other controllers. Then a user cancels a waiting job
+/// through another controller, and after the answer a task of another job completes. Nobody may
+/// start a task of the cancelled job on the machine.
+fn cut_leader(d: &Deployment) -> Outcome {
+    let (leader, other) = fill_and_wait(d)?;
+    if d.trouble {
+        d.cut_off(leader, true);
+    }
+    sleep(1.0);
+    let Some((told_at, status)) = d.cancel("run-000002", other) else {
+        return Err("the cancellation was not confirmed".into());
+    };
+    if status != "withdrawn" {
+        return Err(format!("the cancellation was answered {status}"));
+    }
+    sleep(1.0);
+    if !d.fleet.complete("run-000001/0") {
+        return Err("the task was gone".into());
+    }
+    sleep(14.0);
+    if d.trouble {
+        d.cut_off(leader, false);
+    }
+    Ok(started_after(d, "run-000002", told_at))
+}
+
+/// The leader stands still for seconds. Meanwhile a task completes, and a user cancels a waiting job
+/// through another controller. When the leader goes on, it must not start the cancelled job.
+fn frozen_leader(d: &Deployment) -> Outcome {
+    let (leader, other) = fill_and_wait(d)?;
+    if d.trouble {
+        d.cluster.freeze(leader);
+    }
+    sleep(0.1);
+    if !d.fleet.complete("run-000001/0") {
+        return Err("the task was gone".into());
+    }
+    sleep(0.9);
+    let Some((told_at, status)) = d.cancel("run-000002", other) else {
+        return Err("the cancellation was not confirmed".into());
+    };
+    if status != "withdrawn" {
+        return Err(format!("the cancellation was answered {status}"));
+    }
+    sleep(1.8);
+    if d.trouble {
+        d.cluster.thaw(leader);
+    }
+    sleep(8.0);
+    Ok(started_after(d, "run-000002", told_at))
+}
