Log lines and metrics tell what a proof of emptiness meant for answered starts

The log had a line only for starts without an answer.

Now a line is written for each direct start that the machine may still execute, answered or not, with the ground, the call's token and the highest token that the machine has shown. foxspur_open_starts counts them, and foxspur_machine_messages counts heartbeats, calls, starts, rejected calls and raised tokens, which tells what ruling out late copies costs.

No decision changed.

--- a/src/admin/metrics.rs
+++ b/src/admin/metrics.rs
@@ -141,12 +141,27 @@
         "Starts sent to machines without an answer, whose tasks count as running",
         scheduler.unanswered_starts() as f64,
     )?;
+    register_gauge(
+        registry,
+        "foxspur_open_starts",
+        "Starts sent to machines, answered or not, that a late copy could still repeat",
+        scheduler.open_starts() as f64,
+    )?;
     register_gauge(
         registry,
         "foxspur_incarnation_checks",
         "Machines that may have restarted and have not shown the token sent since",
         scheduler.open_incarnation_checks() as f64,
     )?;
+    let gauges = register_gauges(
+        registry,
+        "foxspur_machine_messages",
+        "Messages to and from machines since this controller took over",
+        &["what"],
+    )?;
+    for (what, count) in scheduler.messages.named() {
+        gauges.with_label_values(&[what]).set(count as f64);
+    }
     register_gauge(
         registry,
         "foxspur_unaccounted_machines",
--- a/src/coordination/agents/commands.rs
+++ b/src/coordination/agents/commands.rs
@@ -155,6 +155,7 @@
         let Some(machine) = self.machines.get_mut(name) else {
             return Vec::new();
         };
+        self.messages.raised_tokens += u64::from(answer.token > machine.token_under(self.term));
         machine.raised_token = answer.token;
         if answer.token == last_token {
             // The term has no higher token left; `raise_overdue_tokens` requests a new term.
@@ -221,6 +222,11 @@
             return None;
         }
         self.work.record_message(commands.len());
+        self.messages.direct_calls += 1;
+        let starts = commands
+            .iter()
+            .filter(|c| matches!(c, Command::Start { .. }));
+        self.messages.direct_starts += starts.count() as u64;
         machine.call_in_flight = true;
         machine.called_at = now;
         machine.called_at_message = machine.last_message;
--- a/src/coordination/agents/direct_calls.rs
+++ b/src/coordination/agents/direct_calls.rs
@@ -105,6 +105,8 @@
         now: f64,
     ) {
         self.advance_clock(now);
+        let rejected = matches!(result, CallResult::Rejected(_));
+        self.messages.rejected_calls += u64::from(rejected);
         if !matches!(result, CallResult::NotSent | CallResult::Rejected(_)) {
             self.machines_with_unresolved_starts.insert(name.clone());
         }
--- a/src/coordination/agents/dispatcher.rs
+++ b/src/coordination/agents/dispatcher.rs
@@ -171,6 +171,7 @@
             tracing::info!(
                 incoming_connections,
                 worker_connections,
+                messages = ?scheduler.messages,
                 "load {}",
                 scheduler.load_summary()
             );
--- a/src/coordination/agents/heartbeat.rs
+++ b/src/coordination/agents/heartbeat.rs
@@ -132,6 +132,7 @@
             machine.heard_at = now;
             machine.answered_at = Some(now);
             machine.delivery.record_reply(token);
+            self.messages.heartbeats += 1;
             self.advance_clock(now);
         }
         repeats.then_some(token)
@@ -150,6 +151,7 @@
     /// Processes a heartbeat and returns the answer.
     pub fn handle_heartbeat(&mut self, report: &Report, now: f64) -> HeartbeatReply {
         self.advance_clock(now);
+        self.messages.heartbeats += 1;
         if report.token >= self.term + TOKENS_PER_TERM {
             return HeartbeatReply::Superseded;
         }
--- a/src/coordination/scheduler/empty_proof.rs
+++ b/src/coordination/scheduler/empty_proof.rs
@@ -48,6 +48,17 @@
     }
 }
 
+impl Attempt {
+    /// Whether the machine, which has shown `seen_token`, accepts a direct call with the attempt's
+    /// start that is under way, or a late copy of one that was answered.
+    pub(crate) fn has_open_start(&self, seen_token: u64) -> bool {
+        let accepts_call = self
+            .duplicate_starts_up_to
+            .is_some_and(|token| token >= seen_token);
+        self.call_in_flight || accepts_call
+    }
+}
+
 impl Machine {
     /// Whether the machine may execute, in a future session, a direct call that was already sent
     /// and starts the attempt.
@@ -62,6 +73,13 @@
         accepts_call && (attempt.has_unanswered_call() || may_have_copy)
     }
 
+    /// The number of attempts whose direct start the machine may still execute.
+    pub(crate) fn open_starts(&self) -> usize {
+        let attempts = self.attempts.values();
+        let open = attempts.filter(|attempt| attempt.has_open_start(self.seen_token));
+        open.count()
+    }
+
     /// Whether the machine's lease expired and no attempt counts as running on it.
     pub fn is_proven_empty(&self) -> bool {
         self.status == MachineStatus::Expired && self.attempts.is_empty()
@@ -75,6 +93,12 @@
         attempts.filter(|a| a.has_unanswered_call()).count()
     }
 
+    /// The number of attempts whose direct start, answered or not, the machine may still execute.
+    pub fn open_starts(&self) -> usize {
+        let machines = self.machines.values();
+        machines.map(Machine::open_starts).sum()
+    }
+
     /// The number of machines with an open incarnation check.
     pub fn open_incarnation_checks(&self) -> usize {
         let machines = self.machines.values();
--- a/src/coordination/scheduler/machines.rs
+++ b/src/coordination/scheduler/machines.rs
@@ -22,9 +22,10 @@
     ruled_out
 }
 
-/// Logs the direct starts without an answer, of the attempts that were ruled out and of those that
-/// still count as running.
-fn log_unanswered_starts(
+/// Logs the direct starts that the machine may still execute, as far as the leader knows: those
+/// without an answer, and those of which a late copy may arrive. For each one the log line tells
+/// whether its attempt was ruled out or still counts as running.
+fn log_open_starts(
     machine: &Machine,
     ruled_out: &[(AttemptId, Attempt)],
     proof: EmptyProof,
@@ -36,7 +37,7 @@
         .iter()
         .map(|(id, attempt)| (id, attempt, false));
     for (id, attempt, is_ruled_out) in ruled_out.chain(kept) {
-        if !attempt.has_unanswered_call() {
+        if !attempt.has_open_start(machine.seen_token) {
             continue;
         }
         tracing::info!(
@@ -44,11 +45,12 @@
             task = %id.task.wire_name(),
             ?proof,
             is_ruled_out,
-            call = ?attempt.unresolved_call,
+            answered = !attempt.has_unanswered_call(),
+            start_token = ?attempt.duplicate_starts_up_to,
+            seen_token = machine.seen_token,
             start_age_s = now - attempt.start_decided_at,
             last_message = ?machine.last_message,
-            seen_token = machine.seen_token,
-            "start without an answer"
+            "start that the machine may still execute"
         );
     }
 }
@@ -142,7 +144,7 @@
         machine.unchanged_task_list = None;
         machine.idle_since = self.now;
         let attempts = take_ruled_out_attempts(machine, proof);
-        log_unanswered_starts(machine, &attempts, proof, self.now);
+        log_open_starts(machine, &attempts, proof, self.now);
         let live_attempts = attempts.iter().filter(|(_, attempt)| !attempt.has_exited());
         let lost_tasks: Vec<String> = live_attempts.map(|(id, _)| id.task.wire_name()).collect();
         if !lost_tasks.is_empty() {
--- a/src/coordination/scheduler/mod.rs
+++ b/src/coordination/scheduler/mod.rs
@@ -7,7 +7,7 @@
 //! - Data types: [`job`], [`machine`] with [`attempt`], [`message_id`] and [`delivery`],
 //!   [`resources`], [`capacity_index`], [`team_usage`], [`fair_share`], [`job_order`],
 //!   [`run_time_predictor`], [`fence`], [`active_drain`], `placement_pass`,
-//!   `preemption_cost`, [`work_counters`].
+//!   `preemption_cost`, [`message_counters`], [`work_counters`].
 //! - State: [`state`] with [`config`].
 //! - Operations on the state:
 //!   - the sets of jobs and machines: `jobs`, `machines`, `attempts`, `completions`, `terms`;
@@ -33,6 +33,7 @@
 pub mod load;
 pub mod machine;
 mod machines;
+pub mod message_counters;
 pub mod message_id;
 mod order_refresh;
 pub mod overview;
--- a/src/coordination/scheduler/state.rs
+++ b/src/coordination/scheduler/state.rs
@@ -16,6 +16,7 @@
 use crate::coordination::scheduler::job::{AttemptId, ByName, Job, Name, Names};
 use crate::coordination::scheduler::job_order::JobOrder;
 use crate::coordination::scheduler::machine::Machine;
+use crate::coordination::scheduler::message_counters::MessageCounters;
 use crate::coordination::scheduler::placement_pass::CapacityChanges;
 use crate::coordination::scheduler::run_time_predictor::RunTimePredictor;
 use crate::coordination::scheduler::team_usage::TeamUsage;
@@ -123,6 +124,8 @@
     pub(crate) drains: ByName<ActiveDrain>,
     /// The largest amounts of work in one step.
     pub work: WorkCounters,
+    /// Numbers of messages to and from machines.
+    pub messages: MessageCounters,
     /// Source of all random draws, seeded so that a run can be repeated.
     pub(crate) rng: SmallRng,
 }
@@ -165,6 +168,7 @@
             predictor: RunTimePredictor::default(),
             drains: ByName::default(),
             work: WorkCounters::default(),
+            messages: MessageCounters::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
