--- a/src/coordination/agents/commands.rs
+++ b/src/coordination/agents/commands.rs
@@ -61,22 +61,34 @@
     }
 }
 
-/// The token of an answer that tells the worker to forget an exited attempt. The token is above
-/// that of every direct call with the attempt's start. `None` if the higher token would make the
-/// worker refuse a call that is in flight, or if the term has no higher token left.
+/// The token of the answer to a heartbeat: above that of every finished direct call that carried a
+/// start. It is not raised while a call is in flight, which the worker would then refuse, nor above
+/// the tokens of the term.
 ///
-/// A worker that has forgotten an attempt starts it again when a copy of a direct call with its
-/// start arrives, however late. (Such copies once started a task of a job that had been cancelled
-/// long before, and ran another task twice.) Once the worker has seen the higher token, it
-/// refuses such copies.
-fn forget_token(machine: &Machine, attempt: &Attempt, term: u64) -> Option<u64> {
+/// A worker that has forgotten an attempt, by a command or by a restart, starts it again when a copy
+/// of a direct call with its start arrives, however late. (Such copies once started a task of a job
+/// that had been cancelled long before, and ran other tasks twice.) Once the worker has seen the
+/// higher token, it refuses such copies. The token is raised in an answer and not in a call, since
+/// a call that overtakes an answer would make the worker drop the answer.
+fn answer_token(machine: &Machine, term: u64) -> u64 {
     let token = machine.token_under(term);
-    let forget_token = attempt
-        .duplicate_starts_up_to
-        .map_or(token, |call_token| token.max(call_token + 1));
-    let is_available =
-        forget_token == token || !machine.call_in_flight && forget_token < term + TOKENS_PER_TERM;
-    is_available.then_some(forget_token)
+    if machine.call_in_flight {
+        return token;
+    }
+    let attempts = machine.attempts.values();
+    let highest_called = attempts
+        .filter_map(|attempt| attempt.called_with_token)
+        .max();
+    let last_token = term + TOKENS_PER_TERM - 1;
+    highest_called.map_or(token, |called| token.max((called + 1).min(last_token)))
+}
+
+/// Whether the worker refuses copies of direct calls with the attempt's start once it has seen the
+/// token.
+fn is_copy_refused(attempt: &Attempt, token: u64) -> bool {
+    attempt
+        .called_with_token
+        .is_none_or(|called| called < token)
 }
 
 /// Records that the answer tells the machine to stop its unwanted attempts and to forget exited
@@ -103,8 +115,8 @@
     }
 }
 
-/// Takes the machine's unsent stops and starts, for a direct call with this token.
-fn take_unsent_commands(machine: &mut Machine, token: u64) -> Vec<Command> {
+/// Takes the machine's unsent stops and starts, for a direct call.
+fn take_unsent_commands(machine: &mut Machine) -> Vec<Command> {
     let mut commands = Vec::new();
     for (key, attempt) in &mut machine.attempts {
         if !attempt.unsent || attempt.has_exited() {
@@ -118,7 +130,6 @@
             commands.push(stop_command(key, grace_s));
         } else if attempt.phase.is_none() {
             attempt.call_in_flight = true;
-            attempt.duplicate_starts_up_to = Some(token);
             commands.push(start_command(key));
         }
     }
@@ -180,14 +191,12 @@
     /// Selects the commands for the machine's attempts, without changing any state.
     fn answer_commands(&self, machine: &Machine) -> AnswerCommands {
         let mut answer = AnswerCommands {
-            token: machine.token_under(self.term),
+            token: answer_token(machine, self.term),
             ..AnswerCommands::default()
         };
         for (key, attempt) in &machine.attempts {
             if attempt.has_exited() {
-                let token = forget_token(machine, attempt, self.term);
-                if let Some(token) = token.filter(|_| self.is_forgettable(key, attempt)) {
-                    answer.token = answer.token.max(token);
+                if is_copy_refused(attempt, answer.token) && self.is_forgettable(key, attempt) {
                     answer.forgets.push(key.clone());
                 }
             } else if let Some(grace_s) = attempt.stop_grace_s {
@@ -216,7 +225,7 @@
         let commands = if checks_incarnation {
             Vec::new()
         } else {
-            take_unsent_commands(machine, token)
+            take_unsent_commands(machine)
         };
         if commands.is_empty() && !probe {
             return None;
--- a/src/coordination/agents/direct_calls.rs
+++ b/src/coordination/agents/direct_calls.rs
@@ -87,6 +87,9 @@
             continue;
         };
         attempt.call_in_flight = false;
+        if !matches!(result, CallResult::NotSent) {
+            attempt.called_with_token = attempt.called_with_token.max(Some(call.token));
+        }
         let unresolved =
             matches!(result, CallResult::Unknown) || executed_unseen && attempt.phase.is_none();
         if unresolved && may_execute_later {
@@ -186,7 +189,7 @@
     }
 
     /// Removes attempts that are to be stopped and that no message has shown, once the worker can
-    /// no longer execute a start of them.
+    /// no longer execute a start of them (see `scheduler::empty_proof`).
     pub fn remove_unstarted(&mut self, name: &Name) {
         let Some(machine) = self.machines.get(name) else {
             return;
@@ -195,7 +198,9 @@
             .attempts
             .iter()
             .filter(|(_, attempt)| {
-                attempt.phase.is_none() && attempt.stop_grace_s.is_some() && !attempt.is_in_flight()
+                let may_start =
+                    attempt.is_in_flight() || attempt.has_open_start(machine.seen_token);
+                attempt.phase.is_none() && attempt.stop_grace_s.is_some() && !may_start
             })
             .map(|(key, _)| key.clone())
             .collect();
--- a/src/coordination/agents/failure_detector.rs
+++ b/src/coordination/agents/failure_detector.rs
@@ -67,8 +67,8 @@
     /// wait for a lease to expire. If many machines are silent at once, the cause is most
     /// likely a partition, and the leader waits for them.
     ///
-    /// Machines with an expired lease and a start without an answer are returned in any number,
-    /// a lease after the expiry: their tasks have ended, and one task each waits for them.
+    /// Machines with an expired lease and an open start are returned in any number, a lease after
+    /// the expiry: their tasks have ended, and the tasks of their open starts wait for them.
     pub fn machines_presumed_dead(&self, now: f64) -> Vec<String> {
         let mut presumed_dead = self.silent_machines_presumed_dead(now);
         presumed_dead.extend(self.expired_machines_with_attempts(now));
--- a/src/coordination/agents/heartbeat.rs
+++ b/src/coordination/agents/heartbeat.rs
@@ -142,7 +142,9 @@
     /// same list would bring no new information and need no command.
     pub fn store_task_list(&mut self, name: &str, message: MessageId, tasks: &str) {
         if let Some(machine) = self.machines.get_mut(name) {
+            // The next heartbeat shows a higher token if a start is open, or the token must be raised.
             let steady = machine.last_message == message
+                && machine.open_starts() == 0
                 && machine.attempts.values().all(Attempt::is_steady);
             machine.unchanged_task_list = steady.then(|| tasks.into());
         }
--- a/src/coordination/agents/lease_expiry.rs
+++ b/src/coordination/agents/lease_expiry.rs
@@ -3,8 +3,8 @@
 //! Each answer to a heartbeat renews the lease of the worker's session, and a worker whose
 //! lease ends kills all its tasks. The tasks of a machine have therefore ended once every lease
 //! that any leader can have renewed has ended, with a margin for clock drift. From then on the
-//! session of an expired lease is never answered again. Direct starts without an answer outlive
-//! the lease; `scheduler::empty_proof` has the rule.
+//! session of an expired lease is never answered again. Direct starts that the machine may still
+//! execute outlive the lease; `scheduler::empty_proof` has the rule.
 
 use crate::coordination::scheduler::config::lease_with_margin_s;
 use crate::coordination::scheduler::empty_proof::EmptyProof;
@@ -96,9 +96,9 @@
         self.fence.empty_from(lease_s).map(|at| at.max(answered))
     }
 
-    /// Marks the machine's lease as expired and removes the attempts that this rules out. If a
-    /// start without an answer remains, an incarnation check begins, and the machine stays in the
-    /// machine record, since the next leader must know that tasks may be on it.
+    /// Marks the machine's lease as expired and removes the attempts that this rules out. If an
+    /// attempt with an open start remains, an incarnation check begins, and the machine stays in
+    /// the machine record, since the next leader must know that tasks may be on it.
     fn expire_machine(&mut self, name: &Name, now: f64) {
         self.clear_machine(name, EmptyProof::LeasesEnded);
         let Some(machine) = self.machines.get_mut(name) else {
@@ -114,8 +114,8 @@
             machine.fenced = true;
             machine.fenced_at = now;
         }
-        let unanswered_starts = machine.attempts.len();
-        if unanswered_starts == 0 {
+        let open_starts = machine.attempts.len();
+        if open_starts == 0 {
             tracing::warn!(
                 machine = %name,
                 term = self.term,
@@ -126,10 +126,10 @@
             tracing::warn!(
                 machine = %name,
                 term = self.term,
-                unanswered_starts,
-                "machine's lease expired; starts without an answer still count as running"
+                open_starts,
+                "machine's lease expired; starts that it may still execute count as running"
             );
-            self.doubt_delivery(name, CheckReason::UnansweredStart, now);
+            self.doubt_delivery(name, CheckReason::OpenStart, now);
         }
         self.update_capacity(name);
         self.outbox.swap_remove(name);
--- a/src/coordination/agents/reconciliation.rs
+++ b/src/coordination/agents/reconciliation.rs
@@ -154,7 +154,8 @@
         settle_commands(attempt, shown, source, machine.seen_token, evidence);
         let shown_before = attempt.phase.is_some();
         let unwanted = attempt.stop_grace_s.is_some() || !machine.recorded;
-        if !shown && !attempt.is_in_flight() && (shown_before || unwanted) {
+        let may_start = attempt.is_in_flight() || attempt.has_open_start(machine.seen_token);
+        if !shown && !may_start && (shown_before || unwanted) {
             gone.push(key.clone());
         }
     }
@@ -276,14 +277,18 @@
         self.release_deferred_attempts(name);
     }
 
-    /// Releases the exited attempts whose release waited for the outcome of a start.
+    /// Releases the exited attempts whose release waited until their start was not open any more.
     pub(super) fn release_deferred_attempts(&mut self, name: &Name) {
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
+        let seen_token = machine.seen_token;
         let attempts = machine.attempts.iter_mut();
         let due: Vec<AttemptId> = attempts
-            .filter_map(|(key, attempt)| attempt.take_deferred_release().then(|| key.clone()))
+            .filter_map(|(key, attempt)| {
+                let due = attempt.take_deferred_release(seen_token);
+                due.then(|| key.clone())
+            })
             .collect();
         for key in due {
             self.release_attempt(&key);
--- a/src/coordination/agents/task_reconciliation.rs
+++ b/src/coordination/agents/task_reconciliation.rs
@@ -29,10 +29,12 @@
     running_since: Option<f64>,
 }
 
-/// An attempt that a former leader started.
-fn adopted_attempt(now: f64) -> Attempt {
+/// An attempt that a former leader started. Its start may have been sent in a direct call with any
+/// token below `base_term`, the term in which this leader took over.
+fn adopted_attempt(now: f64, base_term: u64) -> Attempt {
     let mut attempt = Attempt::new(now, Resources::default());
     attempt.unsent = false;
+    attempt.called_with_token = base_term.checked_sub(1);
     attempt
 }
 
@@ -79,6 +81,7 @@
     /// Reconciles one attempt of a report. The report must already be recorded as the machine's
     /// newest message.
     pub(crate) fn reconcile_task(&mut self, name: &Name, shown: &ShownTask, now: f64) -> Evidence {
+        let base_term = self.fence.base_term;
         let Some(machine) = self.machines.get_mut(name) else {
             return Evidence::Neutral;
         };
@@ -88,7 +91,7 @@
             .entry(shown.attempt.clone())
             .or_insert_with(|| {
                 adopted = true;
-                adopted_attempt(now)
+                adopted_attempt(now, base_term)
             });
         let exited_before = attempt.has_exited();
         let evidence = record_shown(attempt, shown, machine.last_message, now);
@@ -220,13 +223,12 @@
             }
             _ => {}
         }
-        let completed = shown.cause == Some(Cause::Done);
-        let attempt = self
-            .machines
-            .get_mut(name)
-            .and_then(|machine| machine.attempts.get_mut(&shown.attempt));
-        let released = attempt.is_none_or(|attempt| completed || attempt.may_release_after_exit());
-        if released {
+        let may_release = self.machines.get_mut(name).is_none_or(|machine| {
+            let seen_token = machine.seen_token;
+            let attempt = machine.attempts.get_mut(&shown.attempt);
+            attempt.is_none_or(|attempt| attempt.may_release_after_exit(seen_token))
+        });
+        if may_release {
             self.release_attempt(&shown.attempt);
         }
     }
--- a/src/coordination/scheduler/attempt.rs
+++ b/src/coordination/scheduler/attempt.rs
@@ -24,16 +24,17 @@
     pub sent_in_reply_to: Option<MessageId>,
     /// A direct call with the start command is in flight.
     pub call_in_flight: bool,
-    /// Highest token of the direct calls that have carried the start command; `None` if there
-    /// was no such call. A late copy of a call starts the attempt again if the machine has
-    /// forgotten the attempt, unless the machine has seen a higher token than the call's.
-    pub duplicate_starts_up_to: Option<u64>,
+    /// Highest token of the finished direct calls that carried the start command, whether or not
+    /// they were answered; `None` if there was no such call. A late copy of a call starts the
+    /// attempt again if the machine has forgotten the attempt, unless the machine has seen a higher
+    /// token than the call's.
+    pub called_with_token: Option<u64>,
     /// Token and time of a direct call with the start command, if the call got no response. The
     /// command may still be executed until the machine has seen a higher token or has a newer
     /// session.
     pub unresolved_call: Option<(u64, f64)>,
-    /// The attempt has exited without completing its task, but still counts as placed: a direct
-    /// call with its start has no answer, and would start it again after a restart of the machine.
+    /// The attempt has exited, but still counts as placed: its direct start is open, and would start
+    /// it again after a restart of the machine (see `empty_proof`).
     pub release_deferred: bool,
     /// A command to start or stop the attempt has not been sent yet.
     pub unsent: bool,
@@ -58,7 +59,7 @@
             last_shown: MessageId::NONE,
             sent_in_reply_to: None,
             call_in_flight: false,
-            duplicate_starts_up_to: None,
+            called_with_token: None,
             unresolved_call: None,
             release_deferred: false,
             unsent: true,
@@ -92,22 +93,6 @@
         self.has_open_call() && (self.phase.is_none() || self.release_deferred)
     }
 
-    /// Records that the attempt has exited without completing its task. Returns whether the task
-    /// may start again now.
-    pub(crate) fn may_release_after_exit(&mut self) -> bool {
-        self.release_deferred = self.has_open_call();
-        !self.release_deferred
-    }
-
-    /// Returns true once, when the release of the attempt was deferred and its start is settled.
-    pub(crate) fn take_deferred_release(&mut self) -> bool {
-        let due = self.release_deferred && !self.has_open_call();
-        if due {
-            self.release_deferred = false;
-        }
-        due
-    }
-
     /// Whether the attempt was reported as exited.
     pub fn has_exited(&self) -> bool {
         self.phase == Some(Phase::Exited)
--- a/src/coordination/scheduler/empty_proof.rs
+++ b/src/coordination/scheduler/empty_proof.rs
@@ -9,15 +9,21 @@
 //! | --- | --- | --- |
 //! | [`EmptyProof::MachineGone`] | the cloud confirmed the return, or lists the machine no longer | all attempts |
 //! | [`EmptyProof::IncarnationChecked`] | a message with a token that was first sent when the check began | all attempts that the message does not list: the sender rejects every earlier call |
-//! | [`EmptyProof::LaterSession`] | a message of a later session, and no sign of a restart | attempts that ran, and starts in replies, which die with their session; not direct starts without an answer |
+//! | [`EmptyProof::LaterSession`] | a message of a later session, and no sign of a restart | attempts without an open start: those that ran, and starts in replies, which die with their session |
 //! | [`EmptyProof::LeasesEnded`] | the clock, and contact to the state service afterwards | the same |
+//! | a message of the known session that does not list the attempt | its number | the same |
+//! | a message that lists the attempt as exited | its number | the same |
 //!
-//! Only a higher token makes a direct start without an answer impossible, since a machine keeps the
-//! highest token that it has seen. The end of a session does not: the machine may restart
-//! unnoticed, count its sessions from the beginning, and execute the start when it reaches the
-//! session to which the start was addressed. If a restart is suspected, the same holds for copies
-//! of direct starts that were answered. Such attempts stay placed on the machine, and the machine
-//! stays in the machine record, until one of the other proofs.
+//! The direct start of an attempt is open as long as the machine may accept a call that carries it:
+//! from the moment the call is sent until the machine has shown a higher token. Whether the call
+//! was answered makes no difference, since a late copy of it may arrive. Neither does the end of a
+//! session: the machine may restart unnoticed, count its sessions from the beginning, and execute
+//! the call in the session to which it was addressed. Only the token protects against that, since a
+//! machine keeps the highest token that it has seen.
+//!
+//! So that few starts are open when a machine falls silent, the answer to the next heartbeat after a
+//! direct start carries a higher token (`agents::commands`). Attempts with an open start stay placed
+//! on the machine, and the machine stays in the machine record, until one of the other proofs.
 
 use crate::coordination::scheduler::attempt::Attempt;
 use crate::coordination::scheduler::machine::{Machine, MachineStatus};
@@ -42,37 +48,41 @@
         match self {
             EmptyProof::MachineGone | EmptyProof::IncarnationChecked => true,
             EmptyProof::LeasesEnded | EmptyProof::LaterSession => {
-                !machine.may_execute_start_later(attempt)
+                !attempt.has_open_start(machine.seen_token)
             }
         }
     }
 }
 
 impl Attempt {
-    /// Whether the machine, which has shown `seen_token`, accepts a direct call with the attempt's
-    /// start that is under way, or a late copy of one that was answered.
+    /// Whether a direct call with the attempt's start, or a late copy of one, can start the attempt
+    /// on a machine that has shown `seen_token`.
     pub(crate) fn has_open_start(&self, seen_token: u64) -> bool {
         let accepts_call = self
-            .duplicate_starts_up_to
+            .called_with_token
             .is_some_and(|token| token >= seen_token);
         self.call_in_flight || accepts_call
     }
-}
 
-impl Machine {
-    /// Whether the machine may execute, in a future session, a direct call that was already sent
-    /// and starts the attempt.
-    fn may_execute_start_later(&self, attempt: &Attempt) -> bool {
-        let accepts_call = attempt
-            .duplicate_starts_up_to
-            .is_some_and(|token| token >= self.seen_token);
-        let restart_suspected = self
-            .incarnation_check
-            .is_some_and(|check| check.restart_suspected);
-        let may_have_copy = restart_suspected && !attempt.has_exited();
-        accepts_call && (attempt.has_unanswered_call() || may_have_copy)
+    /// Records that the attempt has exited. Returns whether its task, and its share of the team's
+    /// limit, may be released now.
+    pub(crate) fn may_release_after_exit(&mut self, seen_token: u64) -> bool {
+        self.release_deferred = self.has_open_start(seen_token);
+        !self.release_deferred
+    }
+
+    /// Returns true once, when the release of the attempt was deferred and its start is not open
+    /// any more.
+    pub(crate) fn take_deferred_release(&mut self, seen_token: u64) -> bool {
+        let due = self.release_deferred && !self.has_open_start(seen_token);
+        if due {
+            self.release_deferred = false;
+        }
+        due
     }
+}
 
+impl Machine {
     /// The number of attempts whose direct start the machine may still execute.
     pub(crate) fn open_starts(&self) -> usize {
         let attempts = self.attempts.values();
--- a/src/coordination/scheduler/incarnation.rs
+++ b/src/coordination/scheduler/incarnation.rs
@@ -24,8 +24,8 @@
     /// A message has a lower number or token than the newest known message, or a session that
     /// cannot have begun yet.
     NumberingMismatch,
-    /// The leases of the machine have ended, but a start without an answer may still be executed.
-    UnansweredStart,
+    /// The leases of the machine have ended, but the machine may still execute a direct start.
+    OpenStart,
 }
 
 impl Machine {
@@ -44,9 +44,7 @@
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
-        let restart_suspected = reason == CheckReason::NumberingMismatch;
-        if let Some(check) = &mut machine.incarnation_check {
-            check.restart_suspected |= restart_suspected;
+        if machine.incarnation_check.is_some() {
             return;
         }
         let token = machine.token_under(term) + 1;
@@ -62,7 +60,6 @@
         machine.incarnation_check = Some(IncarnationCheck {
             token,
             began_at: now,
-            restart_suspected,
         });
         machine.raised_token = token.min(last_token);
         machine.unchanged_task_list = None;
--- a/src/coordination/scheduler/incarnation_check.rs
+++ b/src/coordination/scheduler/incarnation_check.rs
@@ -7,6 +7,4 @@
     pub token: u64,
     /// When the check began.
     pub began_at: f64,
-    /// A message that does not fit the newest known one suggests that the machine restarted.
-    pub restart_suspected: bool,
 }
--- a/src/coordination/scheduler/machine.rs
+++ b/src/coordination/scheduler/machine.rs
@@ -58,8 +58,7 @@
     /// No more tasks start on the machine, and the machine will be returned to the cloud.
     Draining,
     /// The machine's lease expired, which proves that no attempt runs on the machine that ran
-    /// there before. Attempts whose direct start has no answer may still begin (see
-    /// `empty_proof`). Unless an incarnation check is open, heartbeats of the last known session
+    /// there before. Attempts with an open start may still begin (see `empty_proof`). Unless an incarnation check is open, heartbeats of the last known session
     /// must not be answered any more.
     Expired,
 }
--- a/src/coordination/scheduler/machines.rs
+++ b/src/coordination/scheduler/machines.rs
@@ -46,7 +46,7 @@
             ?proof,
             is_ruled_out,
             answered = !attempt.has_unanswered_call(),
-            start_token = ?attempt.duplicate_starts_up_to,
+            start_token = ?attempt.called_with_token,
             seen_token = machine.seen_token,
             start_age_s = now - attempt.start_decided_at,
             last_message = ?machine.last_message,
--- a/tests/delivery.rs
+++ b/tests/delivery.rs
@@ -342,11 +342,13 @@
 /// restarted its session numbering (seed 6689 of tests/simulation). The sessions of such a
 /// machine can reach the number of the session in which its earlier incarnation ended. A
 /// delayed heartbeat of that incarnation then looks newer than all messages of the present
-/// one. The response to a direct call that was made after that heartbeat arrived is decisive.
+/// one. The response to a direct call that was made after that heartbeat arrived is decisive for an
+/// attempt that this leader does not know. An attempt that it started by a direct call counts until
+/// the machine has shown a higher token, whatever the messages list.
 #[test]
 fn call_result_outweighs_a_heartbeat_of_an_earlier_incarnation() {
     // Session and sequence number in the response, and whether the leader accepts that the
-    // attempt in the response runs.
+    // unknown attempt in the response runs.
     for (session, seq, accepted) in [(2, 8, true), (2, 70, true), (1, 80, false)] {
         let mut scheduler = leader(&["m1"]);
         scheduler.handle_heartbeat(&report("m1", 2, 5, 5, &[]), 1.0);
@@ -364,24 +366,26 @@
         scheduler.direct_call_finished(&name, &start, CallResult::Executed(shown), 1.2);
         // A delayed heartbeat of the earlier incarnation, with a higher sequence number.
         scheduler.handle_heartbeat(&report("m1", 2, 69, 5, &[]), 1.3);
-        let known_attempts = |scheduler: &Scheduler| {
-            let ids = scheduler.machines["m1"].attempts.keys();
-            ids.map(|id| id.number).collect::<Vec<u64>>()
+        let knows = |scheduler: &Scheduler, task: &str| {
+            let mut ids = scheduler.machines["m1"].attempts.keys();
+            ids.any(|id| id.task.wire_name() == task)
         };
         assert!(
-            !known_attempts(&scheduler).contains(&attempt),
+            knows(&scheduler, "run-1/0"),
             "session {session}, sequence number {seq}"
         );
         // Finishes the job, because otherwise its task would be started again.
         scheduler.finish_job("run-1");
         let (_, probe) = scheduler.next_direct_call(&name, 1.4).expect("no probe");
-        let shown = report("m1", session, seq, 5, &running);
+        let unknown = ("run-2/0", 1, Phase::Running, None);
+        let shown = report("m1", session, seq, 5, &[running[0], unknown]);
         scheduler.direct_call_finished(&name, &probe, CallResult::Executed(shown), 1.5);
         assert_eq!(
-            known_attempts(&scheduler).contains(&attempt),
+            knows(&scheduler, "run-2/0"),
             accepted,
             "sequence number {seq}"
         );
+        assert!(knows(&scheduler, "run-1/0"), "sequence number {seq}");
         let check = scheduler.machines["m1"].incarnation_check;
         let numbering_restarted = check.is_some();
         assert_eq!(
@@ -393,30 +397,25 @@
         // whatever their session is, until one shows the token that was sent since.
         let late_reply = scheduler.handle_heartbeat(&report("m1", 2, 90, 5, &[]), 1.6);
         assert_eq!(
-            matches!(late_reply, HeartbeatReply::IncarnationCheck(6)),
+            matches!(late_reply, HeartbeatReply::IncarnationCheck(7)),
             numbering_restarted,
             "sequence number {seq}"
         );
-        assert_eq!(
-            known_attempts(&scheduler).contains(&attempt),
-            (2, 8) == (session, seq)
-        );
+        assert_eq!(knows(&scheduler, "run-2/0"), (2, 8) == (session, seq));
         let later = 2.0 + LEASE_S;
         if let Some(check) = check {
             scheduler.handle_heartbeat(&report("m1", 3, 91, 5, &[]), later);
             assert_eq!(scheduler.machines["m1"].incarnation_check, Some(check));
-            assert_eq!(
-                known_attempts(&scheduler).contains(&attempt),
-                (2, 8) == (session, seq)
-            );
+            assert_eq!(knows(&scheduler, "run-2/0"), (2, 8) == (session, seq));
         }
-        let token = check.map_or(5, |check| check.token);
+        assert!(knows(&scheduler, "run-1/0"), "sequence number {seq}");
+        let token = check.map_or(6, |check| check.token);
         let next_reply = scheduler.handle_heartbeat(&report("m1", 3, 92, token, &[]), later);
         assert!(
             matches!(next_reply, HeartbeatReply::Commands(_))
                 && scheduler.machines["m1"].incarnation_check.is_none()
         );
-        assert!(!known_attempts(&scheduler).contains(&attempt));
+        assert!(!knows(&scheduler, "run-2/0") && !knows(&scheduler, "run-1/0"));
     }
 }
 
--- a/tests/empty_machine.rs
+++ b/tests/empty_machine.rs
@@ -23,6 +23,9 @@
 const START_AT: f64 = 1.0;
 /// When all machines have reported before that.
 const REPORTED_AT: f64 = 0.5;
+/// By when a machine has shown a token above that of a call that it answered: the answer to its next
+/// heartbeat carries it, and the one after that shows it.
+const TOKEN_SHOWN_AT: f64 = 3.25;
 /// When the caller gives up waiting for its answer.
 const CALL_TIMEOUT_AT: f64 = 5.0;
 const STEP_S: f64 = 0.25;
@@ -44,7 +47,11 @@
     /// The call was executed and answered, so that what arrives late is a copy of it.
     answered: bool,
     restarts_at: Option<f64>,
+    /// Whether restarted machines keep the highest token that they have seen, as the protocol asks.
+    keeps_token: bool,
     link: Link,
+    /// Until when the link is up at first.
+    link_fails_at: f64,
     /// When the link is up again.
     link_up_at: f64,
     /// When the call that was held up, or the copy, arrives at the machine.
@@ -57,7 +64,9 @@
     session: 2,
     answered: false,
     restarts_at: Some(1.8),
+    keeps_token: false,
     link: Link::Up,
+    link_fails_at: START_AT,
     link_up_at: f64::MAX,
     late_call_at: Some(START_AT + 15.6),
     cloud_up: true,
@@ -74,8 +83,11 @@
 }
 
 impl Worker {
-    fn restart(&mut self, now: f64) {
-        (self.session, self.seq, self.token) = (1, 0, 0);
+    fn restart(&mut self, keeps_token: bool, now: f64) {
+        (self.session, self.seq) = (1, 0);
+        if !keeps_token {
+            self.token = 0;
+        }
         self.lease_renewed_at = now;
         self.attempts.clear();
     }
@@ -185,7 +197,8 @@
     }
 
     fn link(&self, index: usize, now: f64) -> Link {
-        if index >= RACK || now >= self.events.link_up_at {
+        let fails = now >= self.events.link_fails_at && now < self.events.link_up_at;
+        if index >= RACK || !fails {
             Link::Up
         } else {
             self.events.link
@@ -204,7 +217,7 @@
                 continue;
             }
             if index < RACK && self.events.restarts_at.is_some_and(due) {
-                self.workers[index].restart(now);
+                self.workers[index].restart(self.events.keeps_token, now);
             }
             self.workers[index].end_lease_if_due(now);
             if now.fract() == 0.0 {
@@ -303,7 +316,17 @@
         restarts_at: Some(3.0),
         ..answers_lost
     };
-    let cases: [(&str, Events, Option<f64>); 9] = [
+    let answered_and_cut_off = Events {
+        answered: true,
+        ..down
+    };
+    let answered_and_token_shown = Events {
+        link_fails_at: TOKEN_SHOWN_AT,
+        restarts_at: Some(TOKEN_SHOWN_AT),
+        keeps_token: true,
+        ..answered_and_cut_off
+    };
+    let cases: [(&str, Events, Option<f64>); 11] = [
         ("restarts and is heard", REVIEWED, Some(1.0)),
         ("restarts, answers do not arrive", answers_lost, Some(3.25)),
         ("restarts and is cut off", down, Some(2.5)),
@@ -336,15 +359,25 @@
             Some(2.0),
         ),
         ("a copy arrives after a restart", copy, Some(3.25)),
+        // The machine has not shown a higher token, so a copy of the call may be executed.
         (
             "was answered and is cut off",
+            answered_and_cut_off,
+            Some(2.5),
+        ),
+        (
+            "was answered, is cut off and does not restart",
             Events {
-                answered: true,
                 restarts_at: None,
                 late_call_at: None,
-                ..down
+                ..answered_and_cut_off
             },
-            Some(1.25),
+            Some(2.5),
+        ),
+        (
+            "was answered, showed a higher token, and is cut off",
+            answered_and_token_shown,
+            Some(1.25 + (TOKEN_SHOWN_AT - START_AT) / LEASE_S),
         ),
         (
             "is cut off from the leader, and the cloud answers nothing",
@@ -402,22 +435,29 @@
 /// Guards against a takeover that does not know of a machine on which a task may still start: the
 /// machine's lease expired, and the machine was taken out of the machine record.
 #[test]
-fn a_machine_with_an_unanswered_start_stays_in_the_machine_record() {
-    for answered in [false, true] {
+fn a_machine_with_an_open_start_stays_in_the_machine_record() {
+    for (answered, link_fails_at, is_empty) in [
+        (false, START_AT, false),
+        (true, START_AT, false),
+        (true, TOKEN_SHOWN_AT, true),
+    ] {
         let mut cluster = Cluster::new(Events {
             answered,
             link: Link::Down,
+            link_fails_at,
             cloud_up: false,
             late_call_at: None,
+            restarts_at: Some(TOKEN_SHOWN_AT),
+            keeps_token: true,
             ..REVIEWED
         });
-        cluster.run_until(START_AT + 2.0 * LEASE_S);
+        cluster.run_until(link_fails_at + 2.0 * LEASE_S);
         let target = &cluster.workers[cluster.target].id;
         let machine = &cluster.scheduler.machines[target.as_str()];
         assert_eq!(machine.status, MachineStatus::Expired);
-        assert_eq!(machine.is_proven_empty(), answered);
+        assert_eq!(machine.is_proven_empty(), is_empty);
         let record = cluster.scheduler.wanted_machine_record();
-        assert_eq!(record.iter().any(|info| info.id == *target), !answered);
+        assert_eq!(record.iter().any(|info| info.id == *target), !is_empty);
     }
 }
 
@@ -434,11 +474,17 @@
     assert!(matches!(late, CallResult::Rejected(_)));
 }
 
-/// Guards against losing track of a start whose call ends after the lease of its machine expired. A
-/// rejected start was never executed; an executed one may run in a session that is not known.
+/// Guards against losing track of a start whose call ends after the lease of its machine expired. An
+/// executed start may run in a session that is not known. A rejected one was not executed, but a copy
+/// of the call may be, in a session of the same number after a restart, unless the machine rejected
+/// the call because it has seen a higher token.
 #[test]
 fn a_call_that_ends_after_the_lease_settles_its_start() {
-    for (executed, counts_as_running) in [(false, false), (true, true)] {
+    for (executed, token, counts_as_running) in [
+        (false, TERM, true),
+        (false, TERM + 2, false),
+        (true, TERM, true),
+    ] {
         let mut cluster = Cluster::new(Events {
             link: Link::Down,
             cloud_up: false,
@@ -449,10 +495,10 @@
         cluster.run_until(until);
         let target = cluster.workers[0].id.clone();
         let name = target.as_str().into();
-        let late = report(&target, 2, 90, TERM, &[(TASK, 1, Phase::Running, None)]);
+        let running = [(TASK, 1, Phase::Running, None)];
         let result = match executed {
-            true => CallResult::Executed(late),
-            false => CallResult::Rejected(late),
+            true => CallResult::Executed(report(&target, 2, 90, token, &running)),
+            false => CallResult::Rejected(report(&target, 2, 90, token, &[])),
         };
         let machine = cluster
             .scheduler
@@ -470,7 +516,7 @@
         assert_eq!(
             !machine.attempts.is_empty(),
             counts_as_running,
-            "executed {executed}"
+            "executed {executed}, token {token}"
         );
     }
 }
--- a/tests/simulation/leader.rs
+++ b/tests/simulation/leader.rs
@@ -94,7 +94,7 @@
                 if self.rng.random_bool(0.1) {
                     // A copy is executed as well, between a second and four leases later.
                     let copy_at = now + self.rng.random_range(1.0..4.0 * LEASE_S);
-                    self.schedule_arrival(copy_at, to_worker(call.clone(), true));
+                    self.schedule_copy(copy_at, to_worker(call.clone(), true));
                 }
                 self.send(to_worker(call, false));
             }
--- a/tests/simulation/network.rs
+++ b/tests/simulation/network.rs
@@ -106,6 +106,16 @@
         });
     }
 
+    /// Schedules the arrival of a copy of a direct call, which is executed as well. The copy outlives
+    /// a restart of the machine.
+    pub(crate) fn schedule_copy(&mut self, arrives_at: f64, copy: Message) {
+        self.in_flight.push(InFlight {
+            arrives_at,
+            held_up: true,
+            message: copy,
+        });
+    }
+
     /// Holds a direct call up: its caller gets no answer, and the call is executed late.
     pub(crate) fn hold_up_call(&mut self, worker: usize, leader: u64, call: DirectCommands) {
         let delay_s = self.rng.random_range(2.0..16.0);
--- a/tests/simulation/trouble.rs
+++ b/tests/simulation/trouble.rs
@@ -135,7 +135,7 @@
     }
 
     /// With some probability, restarts about half of the machines. Some of them reach no leader
-    /// for a while afterwards.
+    /// for a while afterwards, and some are cut off in both directions.
     fn draw_rack_restart(&mut self) {
         if !self.rng.random_bool(0.003) {
             return;
@@ -146,6 +146,9 @@
                 if self.rng.random_bool(0.3) {
                     let lost_s = self.rng.random_range(0.0..2.0 * LEASE_S);
                     self.workers[index].heartbeats_lost_until = self.now + lost_s;
+                } else if self.rng.random_bool(0.5) {
+                    let cut_off_s = self.rng.random_range(0.0..2.0 * LEASE_S);
+                    self.workers[index].partitioned_until = self.now + cut_off_s;
                 }
             }
         }
--- a/tests/simulation/worker.rs
+++ b/tests/simulation/worker.rs
@@ -332,11 +332,12 @@
     }
 
     /// Restarts the machine without delay, without tasks and with session and sequence numbers that
-    /// begin again. Calls in flight to the machine are lost, except those that are held up. The protocol requires the machine to
-    /// keep the highest token that it has seen. The simulated machine loses this token only if
-    /// there is no former leader and, except with `Counters::AllLostWhileCallsAreLate`, no call is
-    /// held up that its token rules out: a machine without the token would obey former leaders again
-    /// and execute such calls, which no leader can prevent.
+    /// begin again. Calls in flight to the machine are lost, except copies and those that are held
+    /// up. The protocol requires the machine to keep the highest token that it has seen. The
+    /// simulated machine loses this token only if there is no former leader and, except with
+    /// `Counters::AllLostWhileCallsAreLate`, no call is under way that its token rules out: a machine
+    /// without the token would obey former leaders again and execute such calls, which no leader can
+    /// prevent.
     pub(crate) fn restart(&mut self, index: usize) {
         let now = self.now;
         let keeps_token = self.leaders.len() > 1
