A late answer to a call from before a restart no longer counts as newest

Cause: whether a newer message had arrived since a call began was told by the message's number. A machine that restarted meanwhile counts anew, and its messages can have reached just that number. An answer from before them then counted as the newest message, and removed the attempts that they had shown.

Change: a flag records whether a newer message arrived since the call began.

--- a/src/coordination/agents/commands.rs
+++ b/src/coordination/agents/commands.rs
@@ -239,6 +239,7 @@
         machine.call_in_flight = true;
         machine.called_at = now;
         machine.called_at_message = machine.last_message;
+        machine.heard_since_call = false;
         if !machine.fenced {
             machine.probed_at.get_or_insert(now);
         }
--- a/src/coordination/agents/direct_calls.rs
+++ b/src/coordination/agents/direct_calls.rs
@@ -39,14 +39,15 @@
 /// then from an earlier incarnation of the machine. If the message and the answer have the same
 /// session number, and no newer message has arrived since, the answer counts as the newer one.
 /// (Guards against a heartbeat of an earlier incarnation that was delayed by a partition: it showed
-/// an empty machine, so the machine's tasks were started elsewhere as well.)
+/// an empty machine, so the machine's tasks were started elsewhere as well. Whether a newer message
+/// has arrived is not told by the numbers: those of the present incarnation may have reached the
+/// number that was known when the call was made.)
 fn detect_numbering_restart(machine: &mut Machine, report: &Report) -> AnswerAge {
     let message = MessageId::of(report);
     if report.machine != machine.info.id || message >= machine.called_at_message {
         return AnswerAge::ByNumber;
     }
-    let nothing_newer_since = machine.last_message == machine.called_at_message;
-    if message.session == machine.last_message.session && nothing_newer_since {
+    if message.session == machine.last_message.session && !machine.heard_since_call {
         machine.last_message.seq = message.seq.saturating_sub(1);
         return AnswerAge::RestartedAndNewest;
     }
--- a/src/coordination/agents/heartbeat.rs
+++ b/src/coordination/agents/heartbeat.rs
@@ -130,6 +130,7 @@
         if repeats {
             machine.last_message.seq = head.seq;
             machine.heard_at = now;
+            machine.heard_since_call = true;
             machine.answered_at = Some(now);
             machine.delivery.record_reply(token);
             self.messages.heartbeats += 1;
--- a/src/coordination/agents/reconciliation.rs
+++ b/src/coordination/agents/reconciliation.rs
@@ -94,6 +94,7 @@
 /// incarnation check if the report shows its token.
 fn record_message(machine: &mut Machine, report: &Report, session: SessionChange, now: f64) {
     machine.heard_at = now;
+    machine.heard_since_call = true;
     let passed_check = machine.passes_incarnation_check(report);
     if passed_check {
         machine.incarnation_check = None;
--- a/src/coordination/scheduler/machine.rs
+++ b/src/coordination/scheduler/machine.rs
@@ -129,6 +129,8 @@
     pub called_at: f64,
     /// The newest message that was known when the latest direct call began.
     pub called_at_message: MessageId,
+    /// A message that is newer than the known ones arrived since the latest direct call began.
+    pub heard_since_call: bool,
     /// How many consecutive direct calls ended without a response.
     pub unanswered_calls: u32,
     /// When this leader first called the machine to request a report; `None` before that.
@@ -174,6 +176,7 @@
             call_in_flight: false,
             called_at: f64::NEG_INFINITY,
             called_at_message: MessageId::NONE,
+            heard_since_call: false,
             unanswered_calls: 0,
             probed_at: None,
             recent_failures: Vec::new(),
--- a/tests/delivery.rs
+++ b/tests/delivery.rs
@@ -419,6 +419,33 @@
     }
 }
 
+/// Guards against starting a task on a second machine because of a late answer to a direct call (seeds
+/// 1254 and 1720 of tests/simulation): the machine restarted after the call, and its messages have
+/// reached the number that was known when the call was made. The answer is older than they are.
+#[test]
+fn a_late_answer_to_a_call_from_before_a_restart_removes_no_attempts() {
+    let mut scheduler = leader(&["m1"]);
+    scheduler.handle_heartbeat(&report("m1", 1, 10, 5, &[]), 1.0);
+    submit(&mut scheduler, 1, 1.0);
+    scheduler.place_all(1.2);
+    let name = "m1".into();
+    let (_, call) = scheduler
+        .next_direct_call(&name, 1.2)
+        .expect("no direct call with the start");
+    for now in [2.0, 3.0, 4.0, 5.0] {
+        scheduler.tick(now, now);
+    }
+    let check = scheduler.handle_heartbeat(&report("m1", 1, 1, 5, &[]), 6.0);
+    assert!(matches!(check, HeartbeatReply::IncarnationCheck(6)));
+    scheduler.handle_heartbeat(&report("m1", 1, 8, 6, &[]), 7.0);
+    let running = [("run-2/0", 9, Phase::Running, None)];
+    scheduler.handle_heartbeat(&report("m1", 1, 10, 6, &running), 8.0);
+    let late = CallResult::Executed(report("m1", 1, 7, 6, &[]));
+    scheduler.direct_call_finished(&name, &call, late, 8.5);
+    let mut ids = scheduler.machines["m1"].attempts.keys();
+    assert!(ids.any(|id| id.task.wire_name() == "run-2/0"));
+}
+
 /// Guards against mistaking late copies of heartbeats, which arrive after the leader's
 /// takeover, for new ones. The copies must neither complete the fencing, nor bring back removed
 /// attempts, nor end attempts that have started since.
--- a/tests/simulation/main.rs
+++ b/tests/simulation/main.rs
@@ -393,6 +393,23 @@
     check_rules(Counters::LostWhileCallsAreLate);
 }
 
+/// Guards against the faults that these seeds of the simulation of late calls have shown: the end of a
+/// lease was taken as proof that a machine is empty although a copy of an answered start could still
+/// arrive (review/4: 969, 977, 1276, 5030, 7491), and a late answer to a call removed the attempts that
+/// newer messages had shown (1254, 1720).
+#[test]
+fn rules_hold_with_the_seeds_that_broke_them() {
+    for seed in [969, 977, 1254, 1276, 1720, 5030, 7491] {
+        println!("seed {seed}");
+        run_simulation(&Setup {
+            seed,
+            workers: 4,
+            duration_s: 600.0,
+            counters: Counters::LostWhileCallsAreLate,
+        });
+    }
+}
+
 /// Fails with some seeds: a machine restarts after its token had ruled out a call that is still under
 /// way, forgets the token, and executes the call. See KNOWN-RED.txt and docs/notes/empty-machines.md.
 #[test]
