Tests for four guards of open starts that no test had covered

Ten guards of the rule were taken out one at a time, and six made a test fail. For the other four there are tests now, each seen to fail with its guard taken out: an attempt to be stopped whose start was rejected (two guards), an attempt of a former leader on a machine that never showed our term, and the token of a machine whose first heartbeat after a start arrived while another call was in flight.

--- a/tests/empty_machine.rs
+++ b/tests/empty_machine.rs
@@ -9,7 +9,7 @@
 use common::*;
 use foxspur::coordination::agents::direct_calls::CallResult;
 use foxspur::coordination::agents::heartbeat::HeartbeatReply;
-use foxspur::coordination::scheduler::machine::MachineStatus;
+use foxspur::coordination::scheduler::machine::{MachineStatus, MessageId};
 use foxspur::coordination::scheduler::state::Scheduler;
 use foxspur::protocol::job::Urgency;
 use foxspur::protocol::worker::{Cause, Command, DirectCommands, Phase, Report};
@@ -568,3 +568,86 @@
     cluster.scheduler.remove_unstarted(&name);
     assert_eq!(cluster.scheduler.machines[&name].attempts.len(), 1);
 }
+
+/// Guards against removing an attempt that is to be stopped because its direct start was rejected: the
+/// machine was in a later session, and after a restart it may reach the session of the call again. The
+/// attempt must stay until the machine has shown a higher token.
+#[test]
+fn a_rejected_start_is_open_until_a_higher_token() {
+    let mut scheduler = scheduler(vec![team("t", 0.0, 0.0)], TERM, &["m0"]);
+    scheduler.handle_heartbeat(&report("m0", 2, 1, TERM, &[]), REPORTED_AT);
+    add(
+        &mut scheduler,
+        spec("run-1", "t", Urgency::Standard, 1, 1.0),
+        START_AT,
+    );
+    scheduler.place_all(START_AT);
+    let name = "m0".into();
+    let (_, start) = scheduler
+        .next_direct_call(&name, START_AT)
+        .expect("a direct call with the start");
+    scheduler.finish_job("run-1");
+    let rejected = CallResult::Rejected(report("m0", 3, 1, TERM, &[]));
+    scheduler.direct_call_finished(&name, &start, rejected, START_AT);
+    assert_eq!(scheduler.machines[&name].attempts.len(), 1);
+    let answer = scheduler.handle_heartbeat(&report("m0", 3, 2, TERM, &[]), START_AT + 1.0);
+    assert!(matches!(answer, HeartbeatReply::Commands(reply) if reply.token == TERM + 1));
+    scheduler.handle_heartbeat(&report("m0", 3, 3, TERM + 1, &[]), START_AT + 2.0);
+    assert!(scheduler.machines[&name].attempts.is_empty());
+}
+
+/// Guards against taking the end of the leases for proof that a machine is empty which showed a task of
+/// a former leader and never our term: a late copy of the former leader's call can start the task again.
+#[test]
+fn a_former_leaders_attempt_is_open_until_the_machine_shows_our_term() {
+    for (token_shown, is_open) in [(TERM - 2, true), (TERM, false)] {
+        let mut scheduler = scheduler(vec![team("t", 0.0, 0.0)], TERM, &["m0"]);
+        add(
+            &mut scheduler,
+            spec("run-1", "t", Urgency::Standard, 1, 1.0),
+            0.0,
+        );
+        let running = [(TASK, 9, Phase::Running, None)];
+        scheduler.handle_heartbeat(&report("m0", 2, 1, TERM - 2, &running), REPORTED_AT);
+        scheduler.handle_heartbeat(&report("m0", 2, 2, token_shown, &running), START_AT);
+        let end = START_AT + 1.5 * LEASE_S;
+        for second in 1..=end as u32 {
+            scheduler.tick(f64::from(second), f64::from(second));
+        }
+        let machine = &scheduler.machines["m0"];
+        assert_eq!(machine.status, MachineStatus::Expired);
+        assert_eq!(!machine.attempts.is_empty(), is_open, "token {token_shown}");
+        scheduler.tick(end + LEASE_S, end + LEASE_S);
+        let returned = scheduler.machines_presumed_dead(end + LEASE_S);
+        assert_eq!(returned.contains(&"m0".to_string()), is_open);
+    }
+}
+
+/// Guards against answering the repeated heartbeats of a machine without raising its token, because the
+/// first heartbeat after the start arrived while another call was in flight.
+#[test]
+fn a_machine_with_an_open_start_gets_a_higher_token_with_its_next_answer() {
+    let mut cluster = Cluster::new(Events {
+        answered: true,
+        ..REVIEWED
+    });
+    let target = cluster.workers[0].id.clone();
+    let attempt = cluster.workers[0].attempts[0];
+    let running = [(TASK, attempt, Phase::Running, None)];
+    let mut exchange = |seq, token, call_in_flight| {
+        let scheduler = &mut cluster.scheduler;
+        let machine = scheduler.machines.get_mut(target.as_str()).expect("m0");
+        machine.call_in_flight = call_in_flight;
+        let heartbeat = report(&target, 2, seq, token, &running);
+        let answer = scheduler.handle_heartbeat(&heartbeat, START_AT + 0.5);
+        let HeartbeatReply::Commands(reply) = answer else {
+            panic!("{answer:?}");
+        };
+        scheduler.store_task_list(&target, MessageId::of(&heartbeat), "[]");
+        let machine = &scheduler.machines[target.as_str()];
+        (reply.token, machine.unchanged_task_list.is_some())
+    };
+    assert_eq!(exchange(90, TERM, true), (TERM, false));
+    assert_eq!(exchange(91, TERM, false), (TERM + 1, false));
+    assert_eq!(exchange(92, TERM + 1, false), (TERM + 1, true));
+}
