--- a/src/coordination/agents/reconciliation.rs
+++ b/src/coordination/agents/reconciliation.rs
@@ -106,6 +106,9 @@
     if passed_check || session != SessionChange::Same {
         machine.session_seen_at = now;
     }
+    if session != SessionChange::Same {
+        machine.in_order_at = now;
+    }
     machine.last_message = MessageId::of(report);
     machine.seen_token = machine.seen_token.max(report.token);
     machine.notice_at = report.notice_s.map(|s| now + s);
--- a/src/coordination/agents/task_reconciliation.rs
+++ b/src/coordination/agents/task_reconciliation.rs
@@ -243,6 +243,7 @@
         self.dequeue(task);
         if let Some(machine) = self.machines.get_mut(name) {
             machine.recent_failures.clear();
+            machine.in_order_at = now;
         }
         if let Some(since) = running_since {
             self.record_run_time(&spec, now - since);
@@ -254,6 +255,7 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
+        job.failed_machines.record(name, self.config.lease_s, now);
         job.failed_on.insert(name.clone());
         job.failures += 1;
         if job.is_suspect() {
--- a/src/coordination/scheduler/job.rs
+++ b/src/coordination/scheduler/job.rs
@@ -5,6 +5,7 @@
 //! enumerated: all tasks from the index `next_untracked` on are waiting, and only tasks with a
 //! smaller index are tracked individually.
 
+use crate::coordination::scheduler::failed_machines::FailedMachines;
 use crate::protocol::job::{JobSpec, Shape, Urgency};
 use crate::storage::completed_tasks::CompletedTasks;
 use crate::storage::record_limits::live_record_bytes;
@@ -203,8 +204,10 @@
     extra_attempts: Vec<ExtraAttempt>,
     /// Tasks in the queue of a machine, with the name of the machine.
     pub queued: BTreeMap<u32, Name>,
-    /// Machines on which a task of this job failed.
+    /// Machines on which a task of this job failed, as evidence that the job is faulty.
     pub failed_on: Names,
+    /// Machines on which a task of this job failed recently, and which it avoids for a while.
+    pub failed_machines: FailedMachines,
     /// How many attempts of the job's tasks failed.
     pub failures: u32,
     /// How many attempts failed while the job was suspect and at most one of its tasks was
@@ -271,6 +274,7 @@
             extra_attempts: Vec::new(),
             queued: BTreeMap::new(),
             failed_on: Names::default(),
+            failed_machines: FailedMachines::default(),
             failures: 0,
             retries: 0,
             first_task_prioritized: false,
--- a/src/coordination/scheduler/machine.rs
+++ b/src/coordination/scheduler/machine.rs
@@ -4,6 +4,7 @@
 //! Time arguments are in seconds of the leader's monotonic clock.
 
 use crate::coordination::scheduler::delivery::Delivery;
+use crate::coordination::scheduler::failed_machines::FailedMachines;
 use crate::coordination::scheduler::incarnation_check::IncarnationCheck;
 use crate::coordination::scheduler::job::{AttemptId, Name, TaskId};
 use crate::coordination::scheduler::resources::Resources;
@@ -105,6 +106,9 @@
     pub answered_at: Option<f64>,
     /// Evidence on whether the machine receives this leader's replies.
     pub delivery: Delivery,
+    /// When a task last completed on the machine or a new session began. Failures before that are
+    /// no sign that the machine is faulty now.
+    pub in_order_at: f64,
     /// When the cloud will reclaim the machine; `None` if the cloud has not announced this.
     pub notice_at: Option<f64>,
     /// The attempts that are or may be on the machine.
@@ -165,6 +169,7 @@
             expired_at: f64::NEG_INFINITY,
             answered_at: None,
             delivery: Delivery::default(),
+            in_order_at: f64::NEG_INFINITY,
             notice_at: None,
             attempts: BTreeMap::new(),
             unknown_attempts: 0,
@@ -190,6 +195,17 @@
         self.raised_token.clamp(term, term + TOKENS_PER_TERM - 1)
     }
 
+    /// Whether a job with these failures prefers other machines to this one.
+    pub(crate) fn is_remembered_by(&self, failed_machines: &FailedMachines, now: f64) -> bool {
+        failed_machines.is_remembered(&self.info.id, self.in_order_at, now)
+    }
+
+    /// When a job with these failures may try the machine again, if no other machine has room; `None`
+    /// if it may now.
+    pub(crate) fn pauses_until(&self, failed_machines: &FailedMachines, now: f64) -> Option<f64> {
+        failed_machines.pauses_until(&self.info.id, self.in_order_at, now)
+    }
+
     /// Whether the machine has the image cached.
     pub fn has_image(&self, image: &str) -> bool {
         self.images.iter().any(|(name, _)| name == image)
--- a/src/coordination/scheduler/mod.rs
+++ b/src/coordination/scheduler/mod.rs
@@ -5,7 +5,7 @@
 //! The modules form three layers. Each layer imports only from the layers listed before it:
 //!
 //! - Data types: [`job`], [`machine`] with [`attempt`], [`message_id`] and [`delivery`],
-//!   [`resources`], [`capacity_index`], [`team_usage`], [`fair_share`], [`job_order`],
+//!   [`resources`], [`failed_machines`], [`capacity_index`], [`team_usage`], [`fair_share`], [`job_order`],
 //!   [`run_time_predictor`], [`fence`], [`active_drain`], `placement_pass`,
 //!   `preemption_cost`, [`message_counters`], [`work_counters`].
 //! - State: [`state`] with [`config`].
@@ -23,6 +23,7 @@
 pub mod config;
 pub mod delivery;
 pub(crate) mod empty_proof;
+pub mod failed_machines;
 pub mod fair_share;
 pub mod fence;
 pub(crate) mod incarnation;
--- a/src/coordination/scheduler/preemption.rs
+++ b/src/coordination/scheduler/preemption.rs
@@ -360,7 +360,8 @@
         let is_allowed = self.is_usable(machine, request.now)
             && self.may_use(&job.spec, machine)
             && request.zones.allows(&machine.info.zone);
-        if !is_allowed || job.failed_on.contains(machine_name) {
+        let retry_at = machine.pauses_until(&job.failed_machines, request.now);
+        if !is_allowed || retry_at.is_some() {
             return None;
         }
         let mut capacity = self.unreserved_capacity(machine);
--- a/src/coordination/scheduler/sampling.rs
+++ b/src/coordination/scheduler/sampling.rs
@@ -3,7 +3,8 @@
 //! improves them little (section 1 of the paper named in `placement`). The size of the sample
 //! is a setting.
 
-use crate::coordination::scheduler::job::{Name, Names, TaskId};
+use crate::coordination::scheduler::failed_machines::FailedMachines;
+use crate::coordination::scheduler::job::{Name, TaskId};
 use crate::coordination::scheduler::resources::Resources;
 use crate::coordination::scheduler::state::Scheduler;
 use crate::protocol::job::JobSpec;
@@ -22,6 +23,15 @@
     Exhaustive,
 }
 
+/// Which machines a search accepts of those on which a task of the job failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Choice {
+    /// None that the job remembers.
+    First,
+    /// All but those that the job must not try again yet.
+    Later,
+}
+
 impl Scheduler {
     /// Samples machines with enough free capacity and returns the best of the sample; `None` if
     /// no machine is suitable. Machines that have the job's image are sampled first, and other
@@ -46,8 +56,8 @@
         let picks = self.sample(
             count,
             task,
-            pools,
             Fallback::Exhaustive,
+            now,
             |scheduler, candidate| {
                 let index = &scheduler.capacity_index;
                 let name = index.nth_with_cpus(pools, spec.cpus, candidate)?;
@@ -81,8 +91,8 @@
         let picks = self.sample(
             holders.len(),
             task,
-            pools,
             Fallback::None,
+            now,
             |scheduler, candidate| {
                 let name = holders.get(candidate)?;
                 let machine = scheduler.machines.get(name)?;
@@ -127,8 +137,8 @@
         let picks = self.sample(
             count,
             task,
-            pools,
             Fallback::Exhaustive,
+            now,
             |scheduler, candidate| {
                 let name = scheduler.capacity_index.nth_short_queue(pools, candidate)?;
                 let machine = scheduler.machines.get(name)?;
@@ -143,14 +153,14 @@
 
     /// Draws a sample of distinct machines from `count` candidates. `accept` takes the index of a
     /// candidate and returns the name of its machine, or `None` if the machine is not suitable.
-    /// Machines on which a task of the job failed are left out, as far as
-    /// `machines_to_avoid` allows.
+    /// Machines on which a task of the job failed recently are left out; an exhaustive search that
+    /// finds no other machine accepts them as well, after a pause (see `failed_machines`).
     fn sample(
         &mut self,
         count: usize,
         task: &TaskId,
-        pools: &[usize],
         fallback: Fallback,
+        now: f64,
         mut accept: impl FnMut(&Scheduler, usize) -> Option<Name>,
     ) -> Vec<Name> {
         let size = self.config.policy.sample.min(count);
@@ -158,13 +168,19 @@
         if size == 0 {
             return picks;
         }
-        let failed_on = self.machines_to_avoid(task, pools);
+        let failed_machines = self.recently_failed_machines(task, now);
         let mut examined = 0;
-        let mut examine = |candidate: usize, picks: &[Name]| {
+        let mut examine = |candidate: usize, picks: &[Name], choice: Choice| {
             examined += 1;
-            accept(self, candidate).filter(|name| {
-                !picks.contains(name) && failed_on.is_none_or(|failed| !failed.contains(name))
-            })
+            let name = accept(self, candidate)?;
+            let is_left_out = failed_machines.is_some_and(|failed_machines| {
+                let machine = &self.machines[&name];
+                match choice {
+                    Choice::First => machine.is_remembered_by(failed_machines, now),
+                    Choice::Later => machine.pauses_until(failed_machines, now).is_some(),
+                }
+            });
+            (!is_left_out && !picks.contains(&name)).then_some(name)
         };
         let mut rng = self.rng.clone();
         for _ in 0..size * DRAWS_PER_PICK {
@@ -172,12 +188,20 @@
                 break;
             }
             let candidate = rng.random_range(0..count);
-            picks.extend(examine(candidate, &picks));
+            picks.extend(examine(candidate, &picks, Choice::First));
         }
-        if picks.is_empty() && fallback == Fallback::Exhaustive {
+        let choices: &[Choice] = match (fallback, failed_machines.is_some()) {
+            (Fallback::None, _) => &[],
+            (Fallback::Exhaustive, false) => &[Choice::First],
+            (Fallback::Exhaustive, true) => &[Choice::First, Choice::Later],
+        };
+        for &choice in choices {
+            if !picks.is_empty() {
+                break;
+            }
             let first = rng.random_range(0..count);
             for step in 0..count {
-                picks.extend(examine((first + step) % count, &picks));
+                picks.extend(examine((first + step) % count, &picks, choice));
                 if picks.len() == size {
                     break;
                 }
@@ -188,16 +212,10 @@
         picks
     }
 
-    /// Machines on which tasks of the job failed. `None` if there are no such machines, or if
-    /// their number reaches the number of usable machines in the pools, since avoiding all of
-    /// them might then leave no machine.
-    fn machines_to_avoid(&self, task: &TaskId, pools: &[usize]) -> Option<&Names> {
-        let failed_on = self.jobs.get(&task.job).map(|job| &job.failed_on)?;
-        if failed_on.is_empty() {
-            return None;
-        }
-        let usable_in_pool = |&pool: &usize| self.capacity_index.pool(pool).usable_count();
-        let usable_count: usize = pools.iter().map(usable_in_pool).sum();
-        (failed_on.len() < usable_count).then_some(failed_on)
+    /// The machines on which tasks of the job failed; `None` if no failure is recent.
+    fn recently_failed_machines(&self, task: &TaskId, now: f64) -> Option<&FailedMachines> {
+        let job = self.jobs.get(&task.job)?;
+        let failed_machines = &job.failed_machines;
+        (!failed_machines.is_empty(now)).then_some(failed_machines)
     }
 }
--- a/src/coordination/scheduler/views.rs
+++ b/src/coordination/scheduler/views.rs
@@ -4,6 +4,7 @@
 use crate::coordination::scheduler::active_drain::ActiveDrain;
 use crate::coordination::scheduler::job::Job;
 use crate::coordination::scheduler::machine::{Machine, MachineStatus};
+use crate::coordination::scheduler::resources::Resources;
 use crate::coordination::scheduler::run_time_predictor::{ClassHistograms, ALL_CLASSES};
 use crate::coordination::scheduler::state::Scheduler;
 use crate::coordination::scheduler::team_usage::TeamUsage;
@@ -74,7 +75,33 @@
         if !used.admits(self.team(job.team), &job.spec, 1.0) {
             return "its team is at its limit".into();
         }
-        self.capacity_reason(job).into()
+        self.retry_reason(job, now)
+            .unwrap_or_else(|| self.capacity_reason(job).into())
+    }
+
+    /// The reason why a job waits although machines have room: its tasks failed on them recently.
+    /// `None` if no such machine has room.
+    fn retry_reason(&self, job: &Job, now: f64) -> Option<String> {
+        if job.failed_machines.is_empty(now) {
+            return None;
+        }
+        let need = Resources::of_task(&job.spec);
+        let machines = self.machines.values();
+        let with_room = machines.filter(|machine| {
+            self.is_usable(machine, now)
+                && self.may_use(&job.spec, machine)
+                && machine.free_capacity.fits(&need)
+        });
+        let retries = with_room.filter_map(|m| m.pauses_until(&job.failed_machines, now));
+        let (machines, next_at) = retries.fold((0, f64::MAX), |(machines, next_at), at| {
+            (machines + 1, next_at.min(at))
+        });
+        (machines > 0).then(|| {
+            format!(
+                "failed on {machines} machines with room; tries one again in {:.0} s",
+                next_at - now
+            )
+        })
     }
 
     /// The reason why a job whose tasks wait only for capacity finds none: no machine that it
