--- a/src/coordination/agents/task_reconciliation.rs
+++ b/src/coordination/agents/task_reconciliation.rs
@@ -258,6 +258,10 @@
         job.failed_machines.record(name, self.config.lease_s, now);
         job.failed_on.insert(name.clone());
         job.failures += 1;
+        self.clear_suspicion_if_running_well(&task.job, now);
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
         if job.is_suspect() {
             self.back_off_suspect_job(name, &task.job, now);
             return;
@@ -270,32 +274,6 @@
         }
     }
 
-    /// Backs off a job that fails on several machines. The job is retried at growing intervals and
-    /// with one task at a time, so that a job that was suspected wrongly can recover: the job is no
-    /// longer suspect once one of its tasks is completed. The job's failures no longer count
-    /// against the machines, since otherwise a broken job of hundreds of tasks would take a part of
-    /// a healthy fleet out of use.
-    fn back_off_suspect_job(&mut self, name: &Name, job_name: &Name, now: f64) {
-        let Some(job) = self.jobs.get_mut(job_name) else {
-            return;
-        };
-        job.retries += u32::from(job.placed.len() <= 1);
-        let tries = f64::from(job.retries + 1);
-        job.not_before = now + self.config.heartbeat_s * tries.powi(2).min(100.0);
-        if job.retries <= 1 {
-            tracing::warn!(
-                job = %job_name,
-                machine = %name,
-                "job fails on several machines; retrying it at growing intervals"
-            );
-        }
-        for machine_name in &job.failed_on {
-            if let Some(machine) = self.machines.get_mut(machine_name) {
-                machine.recent_failures.retain(|failed| failed != job_name);
-            }
-        }
-    }
-
     /// Records that the worker refused to start the task: it had no room, was busy, or did
     /// not know the job's description. `cause` says which.
     fn start_refused(&mut self, name: &Name, task: &TaskId, cause: Cause, now: f64) {
--- a/src/coordination/scheduler/mod.rs
+++ b/src/coordination/scheduler/mod.rs
@@ -10,7 +10,8 @@
 //!   `preemption_cost`, [`message_counters`], [`work_counters`].
 //! - State: [`state`] with [`config`].
 //! - Operations on the state:
-//!   - the sets of jobs and machines: `jobs`, `machines`, `attempts`, `completions`, `terms`;
+//!   - the sets of jobs and machines: `jobs`, `machines`, `attempts`, `completions`, `terms`,
+//!     `suspect_jobs`;
 //!   - the order of precedence among jobs: `prediction`, [`quota`], `precedence`, `order_refresh`;
 //!   - placement: [`placement`], `sampling`, [`queue`], [`preemption`], `zone_constraint`;
 //!   - views: [`load`], [`views`], [`overview`], [`snapshot`].
@@ -51,6 +52,7 @@
 mod sampling;
 pub mod snapshot;
 pub mod state;
+mod suspect_jobs;
 pub mod team_usage;
 mod terms;
 pub mod views;
--- a/src/coordination/scheduler/placement.rs
+++ b/src/coordination/scheduler/placement.rs
@@ -162,6 +162,7 @@
         pass: &mut PlacementPass,
         now: f64,
     ) {
+        self.clear_suspicion_if_running_well(name, now);
         let Some(job) = self.jobs.get(name) else {
             return;
         };
--- a/tests/retry_after_failure.rs
+++ b/tests/retry_after_failure.rs
@@ -185,3 +185,30 @@
     let starts = fleet.starts.len();
     assert!((5..=12).contains(&starts), "{starts} starts in a minute");
 }
+
+/// Guards against a service that keeps one replica for good after the other failed on three faulty
+/// machines (review/6): no task of a service ever completes, so the job stayed suspect.
+#[test]
+fn a_service_with_a_replica_that_runs_well_is_not_suspect() {
+    let mut fleet = Fleet::new(&["m0"]);
+    fleet.submit("run-1", 2, 8.0, Shape::Service);
+    fleet.run_for(3);
+    let sick = ["m1", "m2", "m3"];
+    for name in sick {
+        fleet.add_machine(name);
+        fleet.sick.push(name.into());
+    }
+    fleet.run_for(8);
+    for name in sick {
+        let tried = fleet.starts.iter().any(|(_, machine, _)| machine == name);
+        assert!(tried, "{:?}", fleet.starts);
+    }
+    fleet.sick.clear();
+    fleet.add_machine("m4");
+    for task in ["run-1/0", "run-1/1"] {
+        let waited_s = fleet.wait_for(task);
+        assert!(waited_s.is_some(), "{task} waits for {MAX_WAIT_S} s");
+    }
+    fleet.run_for(LEASE_S as u64 + 2);
+    assert!(!fleet.scheduler.jobs["run-1"].is_suspect());
+}
