--- a/src/coordination/agents/task_reconciliation.rs
+++ b/src/coordination/agents/task_reconciliation.rs
@@ -54,6 +54,11 @@
         true => Evidence::Delivered,
         false => Evidence::Neutral,
     };
+    if shown.phase != Phase::Exited {
+        // A late copy of its start may have started an attempt again that had exited.
+        attempt.release_deferred = false;
+        attempt.cause = None;
+    }
     attempt.phase = Some(shown.phase);
     if shown.phase == Phase::Running && attempt.running_since.is_none() {
         attempt.running_since = Some(now);
--- a/tests/empty_machine.rs
+++ b/tests/empty_machine.rs
@@ -551,6 +551,30 @@
     assert!(!is_placed_after(TERM + 1, Phase::Exited, error));
 }
 
+/// Guards against starting a task elsewhere that had exited while its start was open, and that a late copy
+/// has started again (seed 965 of tests/simulation): a message shows the task running and a higher token.
+#[test]
+fn an_exited_attempt_that_runs_again_counts_as_running() {
+    let mut cluster = Cluster::new(Events {
+        answered: true,
+        ..REVIEWED
+    });
+    let target = cluster.workers[0].id.clone();
+    let attempt = cluster.workers[0].attempts[0];
+    let messages = [
+        (TERM, Phase::Exited, Some(Cause::Error)),
+        (TERM + 1, Phase::Running, None),
+        (TERM + 1, Phase::Running, None),
+    ];
+    for (seq, (token, phase, cause)) in (90..).zip(messages) {
+        let shown = report(&target, 2, seq, token, &[(TASK, attempt, phase, cause)]);
+        cluster.scheduler.handle_heartbeat(&shown, START_AT + 0.5);
+        let job = &cluster.scheduler.jobs["run-1"];
+        let placed = job.placed.values().any(|placed| placed.attempt == attempt);
+        assert!(placed, "sequence number {seq}");
+    }
+}
+
 /// Guards against forgetting a start that was executed while an incarnation check was open (seed 1134 of
 /// tests/simulation): a late copy of an old heartbeat begins the check while the call is in flight, so
 /// the call's answer cannot be used, and the task must not start elsewhere.
