--- a/src/coordination/agents/commands.rs
+++ b/src/coordination/agents/commands.rs
@@ -62,7 +62,7 @@
 }
 
 /// The token of the answer to a heartbeat: above that of every finished direct call that carried a
-/// start. It is not raised while a call is in flight, which the worker would then refuse, nor above
+/// start, and above the one by which the machine passed its last incarnation check. It is not raised while a call is in flight, which the worker would then refuse, nor above
 /// the tokens of the term.
 ///
 /// A worker that has forgotten an attempt, by a command or by a restart, starts it again when a copy
@@ -80,7 +80,8 @@
         .filter_map(|attempt| attempt.called_with_token)
         .max();
     let last_token = term + TOKENS_PER_TERM - 1;
-    highest_called.map_or(token, |called| token.max((called + 1).min(last_token)))
+    let highest_known = highest_called.max(machine.passed_check_token);
+    highest_known.map_or(token, |known| token.max((known + 1).min(last_token)))
 }
 
 /// Whether the worker refuses copies of direct calls with the attempt's start once it has seen the
--- a/src/coordination/agents/direct_calls.rs
+++ b/src/coordination/agents/direct_calls.rs
@@ -169,6 +169,7 @@
         let early = machine.is_early_session(report.session, self.config.lease_s, now);
         let newer = MessageId::of(report) > machine.last_message
             && report.token >= machine.seen_token
+            && !machine.may_precede_check(report.session, report.token)
             && !early;
         let is_known_incarnation =
             machine.incarnation_check.is_none() || answer_age == AnswerAge::RestartedAndNewest;
--- a/src/coordination/agents/heartbeat.rs
+++ b/src/coordination/agents/heartbeat.rs
@@ -82,9 +82,10 @@
         // has a lower token is from another incarnation of a machine that restarted its
         // session numbering.
         let lower_token = !stale && report.token < machine.seen_token;
+        let precedes_check = !stale && machine.may_precede_check(report.session, report.token);
         let newest_at = machine.heard_at.max(timing.receiving_since);
         let too_old = stale && (expired || timing.now - newest_at > timing.max_overtaken_s);
-        if early || lower_token || too_old {
+        if early || lower_token || precedes_check || too_old {
             HeartbeatClass::OtherIncarnation
         } else if stale {
             HeartbeatClass::Overtaken
--- a/src/coordination/agents/reconciliation.rs
+++ b/src/coordination/agents/reconciliation.rs
@@ -98,6 +98,7 @@
     let passed_check = machine.passes_incarnation_check(report);
     if passed_check {
         machine.incarnation_check = None;
+        machine.passed_check_token = Some(report.token);
     }
     machine.unanswered_calls = 0;
     machine.unchanged_task_list = None;
--- a/src/coordination/scheduler/machine.rs
+++ b/src/coordination/scheduler/machine.rs
@@ -100,6 +100,9 @@
     /// An open check of which incarnation of the machine is the present one; `None` if its newest
     /// message is known to be of the present one.
     pub incarnation_check: Option<IncarnationCheck>,
+    /// The token by which a message passed the last incarnation check, if there was one. Until a message shows a higher
+    /// one, a message of another session may be of an incarnation that got the same token earlier.
+    pub passed_check_token: Option<u64>,
     /// When the machine's status last became `Expired`.
     pub expired_at: f64,
     /// When a heartbeat of the machine was last answered.
@@ -166,6 +169,7 @@
             session_seen_at: now,
             heard_at: now,
             incarnation_check: None,
+            passed_check_token: None,
             expired_at: f64::NEG_INFINITY,
             answered_at: None,
             delivery: Delivery::default(),
@@ -286,6 +290,13 @@
         self.last_message != MessageId::NONE && now - self.session_seen_at < min_elapsed_s
     }
 
+    /// Whether a message of this session, with this token, may have been sent before the message that
+    /// passed the last incarnation check: by an incarnation that got the check's token and restarted.
+    pub(crate) fn may_precede_check(&self, session: u64, token: u64) -> bool {
+        let shows_later_token = self.passed_check_token.is_none_or(|passed| token > passed);
+        session != self.last_message.session && !shows_later_token
+    }
+
     /// The attempts that occupy capacity: all attempts that have not exited.
     pub fn live_attempts(&self) -> impl Iterator<Item = (&AttemptId, &Attempt)> {
         self.attempts
--- a/tests/delivery.rs
+++ b/tests/delivery.rs
@@ -446,6 +446,26 @@
     assert!(ids.any(|id| id.task.wire_name() == "run-2/0"));
 }
 
+/// Guards against starting a task on a second machine because of a heartbeat from between two restarts
+/// (seeds 36 and 7469 of tests/simulation): the machine got the token of the incarnation check, restarted,
+/// and passed the check with its next message. The heartbeat shows the same token and a later session.
+#[test]
+fn a_late_heartbeat_from_between_two_restarts_removes_no_attempts() {
+    let mut scheduler = leader(&["m1"]);
+    scheduler.handle_heartbeat(&report("m1", 3, 10, 5, &[]), 1.0);
+    for now in [2.0, 3.0, 4.0, 5.0] {
+        scheduler.tick(now, now);
+    }
+    let check = scheduler.handle_heartbeat(&report("m1", 2, 3, 5, &[]), 6.0);
+    assert!(matches!(check, HeartbeatReply::IncarnationCheck(6)));
+    let running = [("run-2/0", 9, Phase::Running, None)];
+    scheduler.handle_heartbeat(&report("m1", 1, 2, 6, &running), 7.0);
+    let late = scheduler.handle_heartbeat(&report("m1", 2, 4, 6, &[]), 7.5);
+    assert!(matches!(late, HeartbeatReply::IncarnationCheck(_)));
+    let mut ids = scheduler.machines["m1"].attempts.keys();
+    assert!(ids.any(|id| id.task.wire_name() == "run-2/0"));
+}
+
 /// Guards against mistaking late copies of heartbeats, which arrive after the leader's
 /// takeover, for new ones. The copies must neither complete the fencing, nor bring back removed
 /// attempts, nor end attempts that have started since.
