--- a/src/coordination/agents/commands.rs
+++ b/src/coordination/agents/commands.rs
@@ -62,8 +62,8 @@
 }
 
 /// The token of the answer to a heartbeat: above that of every finished direct call that carried a
-/// start, and above the one by which the machine passed its last incarnation check. It is not raised while a call is in flight, which the worker would then refuse, nor above
-/// the tokens of the term.
+/// start, and above the one by which the machine passed its last incarnation check. It is not raised
+/// while a call is in flight, which the worker would then refuse, nor above the tokens of the term.
 ///
 /// A worker that has forgotten an attempt, by a command or by a restart, starts it again when a copy
 /// of a direct call with its start arrives, however late. (Such copies once started a task of a job
--- a/src/coordination/agents/failure_detector.rs
+++ b/src/coordination/agents/failure_detector.rs
@@ -134,23 +134,27 @@
     }
 
     fn is_presumed_dead(&self, machine: &Machine, limits: &DeathLimits) -> bool {
-        let doubted_s = machine.delivery.doubtful_for(limits.now).unwrap_or(0.0);
         if machine.status == MachineStatus::Expired {
-            // A machine that is heard again must show the token of its incarnation check. If it does
-            // not, our answers do not reach it.
-            let has_open_check = machine.incarnation_check.is_some();
-            return has_open_check
-                && machine.attempts.is_empty()
-                && doubted_s > self.config.lease_s;
+            return machine.attempts.is_empty() && self.fails_return_check(machine, limits.now);
         }
         if !machine.fenced {
             return self.is_probe_unanswered(machine, limits.max_unanswered_s, limits);
         }
         // A machine that our answers do not reach loses its lease, and with it all its tasks.
+        let doubted_s = machine.delivery.doubtful_for(limits.now).unwrap_or(0.0);
         self.silent_for(machine.heard_at, limits.now) > limits.max_silence_s
             || doubted_s > self.config.lease_s
     }
 
+    /// Whether a machine that is heard again after its lease expired has not shown the token of its
+    /// incarnation check for more than a lease, although its heartbeats still arrive.
+    fn fails_return_check(&self, machine: &Machine, now: f64) -> bool {
+        let lease_s = self.config.lease_s;
+        let doubted_s = machine.delivery.doubtful_for(now).unwrap_or(0.0);
+        let is_still_heard = machine.answered_at.is_some_and(|at| now - at <= lease_s);
+        machine.incarnation_check.is_some() && is_still_heard && doubted_s > lease_s
+    }
+
     /// Whether the machine was probed under our term and has not reported for more than
     /// `max_unanswered_s` since.
     ///
--- a/src/coordination/scheduler/empty_proof.rs
+++ b/src/coordination/scheduler/empty_proof.rs
@@ -9,7 +9,7 @@
 //! | --- | --- | --- |
 //! | [`EmptyProof::MachineGone`] | the cloud confirmed the return, or lists the machine no longer | all attempts |
 //! | [`EmptyProof::IncarnationChecked`] | a message with a token that was first sent when the check began | all attempts that the message does not list: the sender rejects every earlier call |
-//! | [`EmptyProof::LaterSession`] | a message of a later session, and no sign of a restart | attempts without an open start: those that ran, and starts in replies, which die with their session |
+//! | [`EmptyProof::LaterSession`] | a message of a later session before the lease expired, and no sign of a restart | attempts without an open start: those that ran, and starts in replies, which die with their session |
 //! | [`EmptyProof::LeasesEnded`] | the clock, and contact to the state service afterwards | the same |
 //! | a message of the known session that does not list the attempt | its number | the same |
 //! | a message that lists the attempt as exited | its number | the same |
--- a/src/coordination/scheduler/incarnation.rs
+++ b/src/coordination/scheduler/incarnation.rs
@@ -5,11 +5,12 @@
 //! the newer one, and a start that was sent to the earlier incarnation is executed if the machine
 //! reaches the same session number again.
 //!
-//! As soon as a message of a machine does not fit the newest known one, the leader begins an
-//! incarnation check: it sends the machine a token that no message carried before, without
-//! commands. A message that shows this token was sent after the check began, so it is newer than
-//! every message known at that time, whatever its numbers are, and its sender rejects every call
-//! sent before. While the check is open, no other message of the machine counts.
+//! As soon as a message of a machine does not fit the newest known one, and when a machine is heard
+//! again after its lease expired, the leader begins an incarnation check: it sends the machine a token
+//! that no message carried before, without commands. A message that shows this token was sent after
+//! the check began, so it is newer than every message known at that time, whatever its numbers are,
+//! and its sender rejects every call sent before. While the check is open, no other message of the
+//! machine counts.
 
 use crate::coordination::scheduler::incarnation_check::IncarnationCheck;
 use crate::coordination::scheduler::job::Name;
--- a/src/coordination/scheduler/machine.rs
+++ b/src/coordination/scheduler/machine.rs
@@ -59,8 +59,10 @@
     /// No more tasks start on the machine, and the machine will be returned to the cloud.
     Draining,
     /// The machine's lease expired, which proves that no attempt runs on the machine that ran
-    /// there before. Attempts with an open start may still begin (see `empty_proof`). Unless an incarnation check is open, heartbeats of the last known session
-    /// must not be answered any more.
+    /// there before. Attempts with an open start may still begin (see `empty_proof`). Unless an
+    /// incarnation check is open, heartbeats of the last known session must not be answered any
+    /// more. The first heartbeat of another session begins a check, and the machine is used again
+    /// once it passes.
     Expired,
 }
 
@@ -100,8 +102,9 @@
     /// An open check of which incarnation of the machine is the present one; `None` if its newest
     /// message is known to be of the present one.
     pub incarnation_check: Option<IncarnationCheck>,
-    /// The token by which a message passed the last incarnation check, if there was one. Until a message shows a higher
-    /// one, a message of another session may be of an incarnation that got the same token earlier.
+    /// The token by which a message passed the last incarnation check, if there was one. Until a
+    /// message shows a higher one, a message of another session may be of an incarnation that got the
+    /// same token earlier.
     pub passed_check_token: Option<u64>,
     /// When the machine's status last became `Expired`.
     pub expired_at: f64,
