--- a/tests/delivery.rs
+++ b/tests/delivery.rs
@@ -249,6 +249,22 @@
     assert!(scheduler.machines.is_empty());
 }
 
+/// Guards against returning a machine that is only cut off: a late copy of one of its heartbeats arrives
+/// after its lease expired, and nothing follows that could show the token of the incarnation check.
+#[test]
+fn a_late_copy_alone_returns_no_expired_machine() {
+    let mut scheduler = leader(&["m1"]);
+    scheduler.handle_heartbeat(&report("m1", 1, 10, 5, &[]), 1.0);
+    tick(&mut scheduler, 1, 14);
+    let check = scheduler.handle_heartbeat(&report("m1", 2, 3, 5, &[]), 14.0);
+    assert!(matches!(check, HeartbeatReply::IncarnationCheck(6)));
+    for second in 15..45 {
+        tick(&mut scheduler, second - 1, second);
+        let returned = scheduler.machines_presumed_dead(f64::from(second));
+        assert!(returned.is_empty(), "after {second} s");
+    }
+}
+
 /// Guards against renewing the lease of a restarted machine for ever while its tasks from
 /// before the restart count as running. Such a machine has reset its session and sequence
 /// numbers. A heartbeat with lower numbers than the newest message is answered only if the
